Whole path, thin: routers, command, stand-ins, demo

A request is served end to end by separate processes: a caller asks any router for an entry address, connects there and gets its own whole answer, streamed or plain; an operator's folder is in force in all routers without a restart.

The decisions are a library without I/O, clock, threads or random source (packages/core); the wire protocol, the platform clients, the router and the operators' command are packages around it.

Sanitizers, fault matrix, histories: not run yet.

--- /dev/null
+++ b/packages/core/include/nutmegsill/chart.h
@@ -0,0 +1,78 @@
+/// State charts read from JSON files and interpreted by the decisions.
+#pragma once
+
+#include "nutmegsill/types.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace nutmegsill {
+
+/// The words that the code knows for one chart.
+struct ChartWords {
+  std::set<std::string> States;
+  std::set<std::string> Events;
+  std::set<std::string> Guards;
+};
+
+/// A checked state chart.
+class Chart {
+public:
+  struct Transition {
+    std::string To;
+    /// Empty when the transition is always allowed.
+    std::string Guard;
+  };
+
+  /// Parses a chart. Unknown words and unreachable states are faults; every
+  /// fault is added to `faults` and nothing is returned.
+  static std::optional<Chart> parse(const std::string &text,
+                                    const ChartWords &words,
+                                    std::vector<std::string> &faults);
+
+  const std::string &initial() const { return Initial; }
+
+  /// Returns the state after `event`, or nothing when the chart has no
+  /// transition for it or the guard does not hold.
+  std::optional<std::string>
+  next(const std::string &state, const std::string &event,
+       const std::function<bool(const std::string &)> &guard = {}) const;
+
+  /// All (state, event) pairs with a transition, for the fault matrix.
+  std::vector<std::pair<std::string, std::string>> steps() const;
+
+private:
+  std::string Initial;
+  std::map<std::string, std::map<std::string, Transition>> States;
+};
+
+/// The charts that the decisions need.
+struct Charts {
+  Chart Target;
+  Chart Request;
+  Chart Ownership;
+  Chart Instance;
+};
+
+/// Texts of the four chart files.
+struct ChartTexts {
+  std::string Target;
+  std::string Request;
+  std::string Ownership;
+  std::string Instance;
+};
+
+/// Parses all charts; faults name the chart they are in.
+std::shared_ptr<const Charts> parseCharts(const ChartTexts &texts,
+                                          std::vector<std::string> &faults);
+
+/// The chart files that the build embedded.
+ChartTexts builtInCharts();
+
+} // namespace nutmegsill
--- /dev/null
+++ b/packages/core/src/queue.cpp
@@ -0,0 +1,150 @@
+// Queues of the entry and the demands that go out for them.
+#include "entry.h"
+
+#include <algorithm>
+
+namespace nutmegsill::detail {
+
+namespace {
+
+/// A hint about free slots is followed for this long.
+constexpr Duration HintLife = milliseconds(1000);
+
+} // namespace
+
+void Entry::onTick(bool serving) {
+  for (auto &[team, queue] : Queues) {
+    if (!queue.Waiting.empty()) {
+      tickQueue(team, queue, serving);
+    }
+  }
+}
+
+void Entry::tickQueue(const TeamInPool &team, Queue &queue, bool serving) {
+  expire(team, queue);
+  if (queue.Waiting.empty() || !serving) {
+    return;
+  }
+  if (olderThan(queue.WidenedAt, Ctx.Now, Ctx.Limits.WidenAfter)) {
+    widen(team, queue);
+  }
+  const bool refresh =
+      olderThan(queue.SentAt, Ctx.Now, Ctx.Limits.DemandRefresh);
+  const bool update =
+      queue.Changed && olderThan(queue.SentAt, Ctx.Now, Ctx.Limits.DemandGap);
+  if (refresh || update) {
+    sendDemand(team, queue);
+  }
+}
+
+void Entry::expire(const TeamInPool &team, Queue &queue) {
+  const auto pool = Ctx.Config->Pools.find(team.first);
+  while (!queue.Waiting.empty()) {
+    const RequestId id = queue.Waiting.front();
+    Request &request = Requests.at(id);
+    const bool gone = pool == Ctx.Config->Pools.end();
+    const bool due = gone || Ctx.Now - request.ReceivedAt >=
+                                 Duration(pool->second.QueueTimeout);
+    if (!due) {
+      return;
+    }
+    leaveQueue(id, request);
+    refuse(id, request, gone ? Refusal::NoPool : Refusal::QueueTimeout);
+  }
+}
+
+void Entry::widen(const TeamInPool &team, Queue &queue) {
+  queue.WidenedAt = Ctx.Now;
+  if (queue.Width >= Ctx.Limits.MaxWidth) {
+    return;
+  }
+  queue.Width = std::min(Ctx.Limits.MaxWidth, queue.Width * 2);
+  const std::size_t known = ownersOf(team.first, team.second).size();
+  if (queue.Contacted.size() < std::min<std::size_t>(known, queue.Width)) {
+    sendDemand(team, queue);
+  }
+}
+
+void Entry::sendDemand(const TeamInPool &team, Queue &queue) {
+  std::vector<HostId> owners = ownersOf(team.first, team.second);
+  if (owners.size() > queue.Width) {
+    owners.resize(queue.Width);
+  }
+  const std::set<HostId> now(owners.begin(), owners.end());
+  const TeamConfig &config = Ctx.Config->Teams.at(team.second);
+  Demand demand{team.first,
+                team.second,
+                Shares.tag(team),
+                static_cast<std::uint32_t>(queue.Waiting.size()),
+                perWeight(estimate(team), config.Weight),
+                Ctx.Now};
+  queue.SentAt = Ctx.Now;
+  queue.Changed = false;
+  std::set<HostId> dropped = queue.Contacted;
+  queue.Contacted = now;
+  for (const HostId &host : now) {
+    dropped.erase(host);
+    Ctx.send(host, demand);
+  }
+  demand.Count = 0;
+  for (const HostId &host : dropped) {
+    Ctx.send(host, demand);
+  }
+}
+
+void Entry::cancelDemand(const TeamInPool &team, Queue &queue) {
+  // A demand for one request ends with its grant; others are told.
+  const bool several = queue.Contacted.size() > 1;
+  if (several) {
+    for (const HostId &host : queue.Contacted) {
+      Ctx.send(host, Demand{team.first, team.second, Shares.tag(team), 0,
+                            VirtualService{}, Ctx.Now});
+    }
+  }
+  queue.Contacted.clear();
+}
+
+std::vector<HostId> Entry::ownersOf(const PoolId &pool,
+                                    const TeamId &team) const {
+  struct Candidate {
+    std::uint32_t Free = 0;
+    std::uint64_t Weight = 0;
+    HostId Host;
+  };
+  std::map<HostId, Candidate> found;
+  for (const auto &[target, row] : Owners.rows()) {
+    const auto config = Ctx.Config->Targets.find(target);
+    const bool usable =
+        config != Ctx.Config->Targets.end() && config->second.Pool == pool &&
+        Ctx.Config->accepts(target) && !Members.isDead(row.Owner);
+    if (!usable || found.count(row.Owner.Host) != 0) {
+      continue;
+    }
+    const auto hint = Hints.find({pool, row.Owner.Host});
+    const bool fresh =
+        hint != Hints.end() && Ctx.Now - hint->second.At < HintLife;
+    found[row.Owner.Host] =
+        Candidate{fresh ? hint->second.Free : 0,
+                  rendezvousWeight(row.Owner.Host, "demand/" + team.Text + "/" +
+                                                       Ctx.Me.Host.Text),
+                  row.Owner.Host};
+  }
+  std::vector<Candidate> order;
+  order.reserve(found.size());
+  for (const auto &[host, candidate] : found) {
+    order.push_back(candidate);
+  }
+  std::sort(order.begin(), order.end(),
+            [](const Candidate &a, const Candidate &b) {
+              return std::tie(a.Free, a.Weight, a.Host) >
+                     std::tie(b.Free, b.Weight, b.Host);
+            });
+  std::vector<HostId> hosts;
+  hosts.reserve(order.size());
+  for (const Candidate &it : order) {
+    hosts.push_back(it.Host);
+  }
+  return hosts;
+}
+
+} // namespace nutmegsill::detail
--- /dev/null
+++ b/packages/router/src/spawn.h
@@ -0,0 +1,23 @@
+/// Starts coroutines whose exceptions are not lost.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+
+#include <exception>
+
+namespace nutmegsill {
+
+/// Runs `work` on `executor`. An exception that leaves it is a broken
+/// invariant and stops the process.
+template <class Executor>
+void spawn(Executor &executor, boost::asio::awaitable<void> work) {
+  boost::asio::co_spawn(executor, std::move(work),
+                        [](const std::exception_ptr &fault) {
+                          if (fault) {
+                            std::rethrow_exception(fault);
+                          }
+                        });
+}
+
+} // namespace nutmegsill
--- /dev/null
+++ b/packages/standins/src/process.cpp
@@ -0,0 +1,142 @@
+#include "process.h"
+
+#include <array>
+#include <csignal>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+namespace nutmegsill::standin {
+
+namespace {
+
+constexpr std::chrono::milliseconds PollInterval{10};
+constexpr int ExecFailed = 127;
+
+std::vector<char *> argumentPointers(std::vector<std::string> &all) {
+  std::vector<char *> pointers;
+  pointers.reserve(all.size() + 1);
+  for (std::string &it : all) {
+    pointers.push_back(it.data());
+  }
+  pointers.push_back(nullptr);
+  return pointers;
+}
+
+int exitCode(int status) {
+  return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+} // namespace
+
+Process::Process(const std::string &program,
+                 const std::vector<std::string> &arguments,
+                 const std::string &logPath) {
+  std::vector<std::string> all{program};
+  all.insert(all.end(), arguments.begin(), arguments.end());
+  const std::vector<char *> pointers = argumentPointers(all);
+  Id = fork();
+  if (Id == 0) {
+    const int log = open(logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    dup2(log, STDOUT_FILENO);
+    dup2(log, STDERR_FILENO);
+    execv(program.c_str(), pointers.data());
+    _exit(ExecFailed);
+  }
+}
+
+Process::~Process() { kill(); }
+
+Process::Process(Process &&other) noexcept : Id(std::exchange(other.Id, -1)) {}
+
+Process &Process::operator=(Process &&other) noexcept {
+  if (this != &other) {
+    kill();
+    Id = std::exchange(other.Id, -1);
+  }
+  return *this;
+}
+
+void Process::signal(int number) const {
+  if (Id > 0) {
+    ::kill(Id, number);
+  }
+}
+
+std::optional<int> Process::wait(std::chrono::milliseconds patience) {
+  const std::chrono::steady_clock::time_point end =
+      std::chrono::steady_clock::now() + patience;
+  while (Id > 0) {
+    int status = 0;
+    if (waitpid(Id, &status, WNOHANG) == Id) {
+      Id = -1;
+      return exitCode(status);
+    }
+    if (std::chrono::steady_clock::now() >= end) {
+      return std::nullopt;
+    }
+    std::this_thread::sleep_for(PollInterval);
+  }
+  return std::nullopt;
+}
+
+void Process::kill() {
+  if (Id > 0) {
+    ::kill(Id, SIGKILL);
+    ::kill(Id, SIGCONT);
+    int status = 0;
+    waitpid(Id, &status, 0);
+    Id = -1;
+  }
+}
+
+int runProgram(const std::string &program,
+               const std::vector<std::string> &arguments, std::string &output) {
+  std::array<int, 2> ends{};
+  if (pipe(ends.data()) != 0) {
+    return ExecFailed;
+  }
+  std::vector<std::string> all{program};
+  all.insert(all.end(), arguments.begin(), arguments.end());
+  const std::vector<char *> pointers = argumentPointers(all);
+  const int id = fork();
+  if (id == 0) {
+    dup2(ends[1], STDOUT_FILENO);
+    dup2(ends[1], STDERR_FILENO);
+    close(ends[0]);
+    close(ends[1]);
+    execv(program.c_str(), pointers.data());
+    _exit(ExecFailed);
+  }
+  close(ends[1]);
+  std::array<char, 4096> buf{};
+  ssize_t n = 0;
+  while ((n = read(ends[0], buf.data(), buf.size())) > 0) {
+    output.append(buf.data(), static_cast<std::size_t>(n));
+  }
+  close(ends[0]);
+  int status = 0;
+  waitpid(id, &status, 0);
+  return exitCode(status);
+}
+
+unsigned freePort() {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  if (bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0) {
+    close(fd);
+    return 0;
+  }
+  socklen_t size = sizeof(address);
+  getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size);
+  close(fd);
+  return ntohs(address.sin_port);
+}
+
+} // namespace nutmegsill::standin
--- /dev/null
+++ b/packages/testing/src/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
