--- a/packages/core/include/nutmegsill/chart.h
+++ b/packages/core/include/nutmegsill/chart.h
@@ -32,10 +32,12 @@
 
   /// Parses a chart. Unknown words and unreachable states are faults; every
   /// fault is added to `faults` and nothing is returned.
-  static std::optional<Chart> parse(const std::string &text,
+  static std::optional<Chart> parse(const std::string &name,
+                                    const std::string &text,
                                     const ChartWords &words,
                                     std::vector<std::string> &faults);
 
+  const std::string &name() const { return Name; }
   const std::string &initial() const { return Initial; }
 
   /// Returns the state after `event`, or nothing when the chart has no
@@ -48,6 +50,7 @@
   std::vector<std::pair<std::string, std::string>> steps() const;
 
 private:
+  std::string Name;
   std::string Initial;
   std::map<std::string, std::map<std::string, Transition>> States;
 };
--- a/packages/core/include/nutmegsill/event.h
+++ b/packages/core/include/nutmegsill/event.h
@@ -168,6 +168,8 @@
   NoConfiguration,
   ClaimUnconfirmed,
   RetriesSpent,
+  /// The first request with the same key was given up before it ran.
+  AttemptAbandoned,
   OutcomeUnknown,
 };
 
@@ -225,8 +227,16 @@
   std::vector<std::pair<std::string, std::string>> Facts;
 };
 
-using Effect = std::variant<Dispatch, Refuse, ForwardToHolder, JoinAttempt,
-                            SendPeer, PlatformCall, PollLoad, ConfigInForce,
-                            MembersChanged, Stopped, Decision>;
+/// A step of a state chart was taken.
+struct Step {
+  std::string Chart;
+  std::string From;
+  std::string Event;
+  std::string To;
+};
+
+using Effect = std::variant<Step, Dispatch, Refuse, ForwardToHolder,
+                            JoinAttempt, SendPeer, PlatformCall, PollLoad,
+                            ConfigInForce, MembersChanged, Stopped, Decision>;
 
 } // namespace nutmegsill
--- a/packages/core/include/nutmegsill/router.h
+++ b/packages/core/include/nutmegsill/router.h
@@ -94,7 +94,7 @@
   Router(Router &&) noexcept;
   Router(const Router &) = delete;
   Router &operator=(const Router &) = delete;
-  Router &operator=(Router &&) = delete;
+  Router &operator=(Router &&) noexcept;
 
   /// Takes one event; returns its effects in order.
   std::vector<Effect> handle(const Event &event);
--- a/packages/core/src/chart.cpp
+++ b/packages/core/src/chart.cpp
@@ -34,7 +34,8 @@
 
 } // namespace
 
-std::optional<Chart> Chart::parse(const std::string &text,
+std::optional<Chart> Chart::parse(const std::string &name,
+                                  const std::string &text,
                                   const ChartWords &words,
                                   std::vector<std::string> &faults) {
   const std::size_t before = faults.size();
@@ -47,6 +48,7 @@
     return std::nullopt;
   }
   Chart chart;
+  chart.Name = name;
   chart.Initial = root["initial"].get<std::string>();
   checkWord(words.States, chart.Initial, "state", faults);
   for (const auto &[state, steps] : root["states"].items()) {
@@ -148,7 +150,7 @@
   const auto parse = [&](const char *name, const std::string &text,
                          const ChartWords &words) {
     std::vector<std::string> own;
-    std::optional<Chart> chart = Chart::parse(text, words, own);
+    std::optional<Chart> chart = Chart::parse(name, text, words, own);
     for (const std::string &fault : own) {
       found.push_back(std::string(name) + " chart: " + fault);
     }
--- a/packages/core/src/claims.cpp
+++ b/packages/core/src/claims.cpp
@@ -1,5 +1,7 @@
 #include "claims.h"
 
+#include <utility>
+
 namespace nutmegsill::detail {
 
 namespace {
@@ -19,6 +21,11 @@
                                            request.IdempotencyKey};
   const auto known = ByKey.find(key);
   if (known != ByKey.end()) {
+    Attempt &first = Attempts.at(known->second);
+    if (first.At == Phase::Claiming || first.At == Phase::Reading) {
+      first.Waiters.push_back(Waiter{request.Id, request.Forwarded});
+      return std::nullopt;
+    }
     return ClaimJoins{request.Id, known->second};
   }
   Attempt &attempt = Attempts[request.Id];
@@ -46,8 +53,7 @@
   Calls[Ctx.call(KvRead{{claimKey(attempt.Team, attempt.Key)}})] = id;
 }
 
-bool Claims::onReply(const PlatformReply &reply,
-                     std::optional<ClaimResult> &out) {
+bool Claims::onReply(const PlatformReply &reply) {
   const auto call = Calls.find(reply.Id);
   if (call == Calls.end()) {
     return false;
@@ -61,6 +67,8 @@
     return true;
   }
   Attempt &attempt = it->second;
+  const std::vector<Waiter> waiters = attempt.Waiters;
+  std::optional<ClaimResult> out;
   std::visit(Overloaded{
                  [&](const KvSwapped &result) {
                    out = onSwapped(id, attempt, reply.SentAt, result);
@@ -73,9 +81,50 @@
                  [&](const KvFailed &) { out = onFailed(id, attempt); },
              },
              reply.Result);
+  if (out) {
+    resolve(id, *out, waiters);
+  }
   return true;
 }
 
+void Claims::resolve(RequestId id, const ClaimResult &result,
+                     const std::vector<Waiter> &waiters) {
+  Results.push_back(result);
+  for (const Waiter &it : waiters) {
+    std::visit(Overloaded{
+                   [&](const ClaimConfirmed &) {
+                     Results.emplace_back(ClaimJoins{it.Id, id});
+                   },
+                   [&](const ClaimHeldBy &held) {
+                     if (it.Forwarded) {
+                       Results.emplace_back(ClaimUnknown{it.Id});
+                     } else {
+                       Results.emplace_back(
+                           ClaimHeldBy{it.Id, held.Holder, held.Address});
+                     }
+                   },
+                   [&](const ClaimJoins &joins) {
+                     Results.emplace_back(ClaimJoins{it.Id, joins.Attempt});
+                   },
+                   [&](const ClaimUnknown &) {
+                     Results.emplace_back(ClaimUnknown{it.Id});
+                   },
+                   [&](const ClaimFailed &) {
+                     Results.emplace_back(ClaimFailed{it.Id});
+                   },
+               },
+               result);
+  }
+  const auto at = Attempts.find(id);
+  if (at != Attempts.end()) {
+    at->second.Waiters.clear();
+  }
+}
+
+std::vector<ClaimResult> Claims::takeResults() {
+  return std::exchange(Results, {});
+}
+
 std::optional<ClaimResult> Claims::onSwapped(RequestId id, Attempt &attempt,
                                              Time sentAt,
                                              const KvSwapped &result) {
@@ -160,6 +209,10 @@
     return;
   }
   if (!ran) {
+    // Whoever waits for this claim has not run either.
+    for (const Waiter &waiter : it->second.Waiters) {
+      Results.emplace_back(ClaimFailed{waiter.Id});
+    }
     remove(id, it->second);
     abandon(id);
     return;
--- a/packages/core/src/claims.h
+++ b/packages/core/src/claims.h
@@ -45,14 +45,21 @@
 
   /// Starts to claim the request's key; may answer at once.
   std::optional<ClaimResult> begin(const CallerRequest &request);
-  /// Takes the reply when this part made the call; `out` gets the result.
-  bool onReply(const PlatformReply &reply, std::optional<ClaimResult> &out);
+  /// Takes the reply when this part made the call.
+  bool onReply(const PlatformReply &reply);
+  /// Results that came up since the last call.
+  std::vector<ClaimResult> takeResults();
   /// Notes how the attempt ended. `ran` is false only when nothing was sent.
   void finish(RequestId id, bool ran);
   void onTick();
 
 private:
   enum class Phase { Claiming, Reading, Held, Finished };
+  /// A later request with the same key that waits for the claim's result.
+  struct Waiter {
+    RequestId Id;
+    bool Forwarded = false;
+  };
   /// An attempt of this router at one key.
   struct Attempt {
     TeamId Team;
@@ -63,6 +70,7 @@
     std::uint64_t ModRevision = 0;
     std::uint32_t Tries = 0;
     Time FinishedAt;
+    std::vector<Waiter> Waiters;
   };
 
   std::string attemptId(RequestId id) const;
@@ -74,6 +82,9 @@
                                     const KvValue &value);
   std::optional<ClaimResult> onFailed(RequestId id, Attempt &attempt);
   ClaimResult confirm(RequestId id, Attempt &attempt, std::uint64_t mod);
+  /// Gives the result to the request and, as fits them, to its waiters.
+  void resolve(RequestId id, const ClaimResult &result,
+               const std::vector<Waiter> &waiters);
   void abandon(RequestId id);
   void remove(RequestId id, const Attempt &attempt);
 
@@ -85,6 +96,7 @@
   std::map<std::string, Time> NotRun;
   std::map<CallId, RequestId> Calls;
   std::deque<RequestId> Finished;
+  std::vector<ClaimResult> Results;
 };
 
 } // namespace nutmegsill::detail
--- a/packages/core/src/context.cpp
+++ b/packages/core/src/context.cpp
@@ -28,6 +28,7 @@
   if (!to) {
     return false;
   }
+  emit(Step{chart.name(), state, event, *to});
   state = *to;
   return true;
 }
--- a/packages/core/src/context.h
+++ b/packages/core/src/context.h
@@ -35,9 +35,8 @@
   void decide(std::string what,
               std::vector<std::pair<std::string, std::string>> facts);
   /// Advances `state` by the chart; false when the chart has no such step.
-  static bool
-  advance(const Chart &chart, std::string &state, const std::string &event,
-          const std::function<bool(const std::string &)> &guard = {});
+  bool advance(const Chart &chart, std::string &state, const std::string &event,
+               const std::function<bool(const std::string &)> &guard = {});
 
 private:
   std::uint64_t LastCall = 0;
--- a/packages/core/src/core.cpp
+++ b/packages/core/src/core.cpp
@@ -41,6 +41,7 @@
   Owners.onTick();
   Grants.onTick();
   Keys.onTick();
+  Requests.takeClaims();
   if (Ctx.Config) {
     Requests.onTick(serving() || State == "leaving");
   }
@@ -54,12 +55,12 @@
 void Core::updateState() {
   const Chart &chart = Ctx.ChartSet->Instance;
   if (Ctx.Config && !Members.members().empty()) {
-    Context::advance(chart, State, "configured");
+    Ctx.advance(chart, State, "configured");
   }
   const bool isolated =
       Config.age() > Ctx.Limits.IsolatedAfter && !Members.reachesMajority();
   const std::string before = State;
-  Context::advance(chart, State, isolated ? "isolated" : "rejoined");
+  Ctx.advance(chart, State, isolated ? "isolated" : "rejoined");
   if (before != State) {
     Ctx.decide("instance_state", {{"from", before}, {"to", State}});
   }
@@ -69,7 +70,7 @@
   const bool waited = olderThan(StopAt, Ctx.Now, HandOverPatience);
   const bool emptied =
       Requests.openRequests() == 0 && (Owners.empty() || waited);
-  if (emptied && Context::advance(chart, State, "emptied")) {
+  if (emptied && Ctx.advance(chart, State, "emptied")) {
     Ctx.emit(Stopped{});
   }
 }
@@ -93,7 +94,7 @@
 void Core::on(const HostList &list) { Members.onHostList(list); }
 
 void Core::on(const StopRequested &) {
-  if (!Context::advance(Ctx.ChartSet->Instance, State, "stop")) {
+  if (!Ctx.advance(Ctx.ChartSet->Instance, State, "stop")) {
     return;
   }
   Ctx.Self.Leaving = true;
@@ -104,14 +105,9 @@
 }
 
 void Core::on(const PlatformReply &reply) {
-  std::optional<ClaimResult> claim;
-  if (Keys.onReply(reply, claim)) {
-    if (claim) {
-      Requests.onClaim(*claim);
-    }
-    return;
-  }
-  if (!Config.onReply(reply)) {
+  if (Keys.onReply(reply)) {
+    Requests.takeClaims();
+  } else if (!Config.onReply(reply)) {
     Owners.onReply(reply);
   }
 }
--- a/packages/core/src/entry.cpp
+++ b/packages/core/src/entry.cpp
@@ -29,7 +29,7 @@
     }
     return name == "nothing_sent";
   };
-  return Context::advance(Ctx.ChartSet->Request, request.State, event, guard);
+  return Ctx.advance(Ctx.ChartSet->Request, request.State, event, guard);
 }
 
 void Entry::onRequest(const CallerRequest &call, const std::string &state) {
@@ -78,6 +78,12 @@
   }
 }
 
+void Entry::takeClaims() {
+  for (const ClaimResult &result : Keys.takeResults()) {
+    onClaim(result);
+  }
+}
+
 void Entry::onClaim(const ClaimResult &result) {
   const RequestId id = std::visit([](const auto &it) { return it.Id; }, result);
   const auto at = Requests.find(id);
@@ -169,7 +175,7 @@
       return id;
     }
     leaveQueue(id, request);
-    refuse(id, request, Refusal::QueueTimeout);
+    refuseTruly(id, request, Refusal::QueueTimeout);
   }
   return std::nullopt;
 }
@@ -279,6 +285,7 @@
       end == ExchangeEnd::NotSent || end == ExchangeEnd::RefusedByTarget;
   const bool repeatable = nothingSent || (request.Call.Idempotent &&
                                           end != ExchangeEnd::BrokenMidAnswer);
+  request.MayHaveRun = request.MayHaveRun || !nothingSent;
   const bool again =
       repeatable && spendRetry() &&
       fire(request, nothingSent ? "not_sent" : "broken_before_answer");
@@ -289,10 +296,8 @@
               {"retry_credit", std::to_string(RetryCredit)}});
   if (again) {
     enqueue(id, request, true);
-  } else if (nothingSent) {
-    refuse(id, request, Refusal::RetriesSpent);
   } else {
-    endUnknown(id, request);
+    refuseTruly(id, request, Refusal::RetriesSpent);
   }
 }
 
@@ -306,6 +311,14 @@
   Requests.erase(id);
 }
 
+void Entry::refuseTruly(RequestId id, Request &request, Refusal why) {
+  if (request.MayHaveRun) {
+    endUnknown(id, request);
+  } else {
+    refuse(id, request, why);
+  }
+}
+
 void Entry::endUnknown(RequestId id, Request &request) {
   if (!fire(request, "lost")) {
     fire(request, "claim_lost");
--- a/packages/core/src/entry.h
+++ b/packages/core/src/entry.h
@@ -26,7 +26,8 @@
   void onCallerGone(RequestId id);
   void onProgress(const AnswerProgress &progress);
   void onEnded(const ExchangeEnded &ended);
-  void onClaim(const ClaimResult &result);
+  /// Takes the results of claims.
+  void takeClaims();
   void onGrant(const HostId &owner, const Grant &grant, bool serving);
   void onInFlightQuery(const HostId &owner, const InFlightQuery &query);
   void onTick(bool serving);
@@ -48,6 +49,8 @@
     Time ReceivedAt;
     std::optional<Time> ClaimSentAt;
     std::uint32_t Attempts = 0;
+    /// True once a byte of the request may have reached a target.
+    bool MayHaveRun = false;
     std::optional<HeldGrant> Held;
     /// Cost charged to the team for the running attempt.
     Cost Charged;
@@ -68,6 +71,7 @@
     Time At;
   };
 
+  void onClaim(const ClaimResult &result);
   bool fire(Request &request, const std::string &event);
   void enqueue(RequestId id, Request &request, bool atFront);
   void leaveQueue(RequestId id, const Request &request);
@@ -80,6 +84,8 @@
   void retryOrEnd(RequestId id, Request &request, ExchangeEnd end);
   void refuse(RequestId id, Request &request, Refusal why);
   void endUnknown(RequestId id, Request &request);
+  /// Refuses as not run, or as unknown when an attempt may have run.
+  void refuseTruly(RequestId id, Request &request, Refusal why);
   void forget(RequestId id);
   bool spendRetry();
   void charge(Request &request, Cost total);
--- a/packages/core/src/granter.cpp
+++ b/packages/core/src/granter.cpp
@@ -35,10 +35,10 @@
     return;
   }
   if (settle.Outcome == SettleOutcome::Completed) {
-    owned.Load.noteCompleted(Ctx.ChartSet->Target, config->second, Ctx.Now);
+    owned.Load.noteCompleted(Ctx, config->second, Ctx.Now);
   }
   if (settle.Outcome == SettleOutcome::Failed) {
-    owned.Load.noteRestart(Ctx.ChartSet->Target, config->second, Ctx.Now);
+    owned.Load.noteRestart(Ctx, config->second, Ctx.Now);
     Ctx.decide("target_limit_dropped", {{"target", settle.Target.Text},
                                         {"reason", "an exchange failed"}});
   }
@@ -51,8 +51,8 @@
   if (it == Targets.end() || config == Ctx.Config->Targets.end()) {
     return;
   }
-  const bool restarted = it->second.Load.noteReport(
-      Ctx.ChartSet->Target, config->second, report, Ctx.Now);
+  const bool restarted =
+      it->second.Load.noteReport(Ctx, config->second, report, Ctx.Now);
   if (restarted) {
     Ctx.decide("target_limit_dropped",
                {{"target", report.Target.Text}, {"reason", "new start id"}});
@@ -65,7 +65,7 @@
     return;
   }
   Owned owned;
-  owned.Load = Slots(Ctx.ChartSet->Target, config->second, Ctx.Now);
+  owned.Load = Slots(Ctx, config->second, Ctx.Now);
   owned.Number = number;
   owned.RecoveringSince = Ctx.Now;
   for (const auto &[host, member] : Members.members()) {
@@ -142,8 +142,8 @@
   if (config == Ctx.Config->Targets.end()) {
     return;
   }
-  owned.Load.noteAccepted(Ctx.ChartSet->Target, config->second,
-                          Ctx.Config->accepts(id), Ctx.Now);
+  owned.Load.noteAccepted(Ctx, config->second, Ctx.Config->accepts(id),
+                          Ctx.Now);
   if (owned.RecoveringSince &&
       olderThan(owned.RecoveringSince, Ctx.Now, Ctx.Limits.GrantLife)) {
     finishRecovery(id, owned);
@@ -263,6 +263,7 @@
   Shares.noteGrant(pool, tag);
   Ctx.decide("grant", {{"pool", pool.Text},
                        {"target", target.Text},
+                       {"epoch", std::to_string(owned.Number.Value)},
                        {"team", key.first.Text},
                        {"entry", key.second.Text},
                        {"tag_milli", std::to_string(tag.Milli)},
--- a/packages/core/src/ownership.cpp
+++ b/packages/core/src/ownership.cpp
@@ -96,7 +96,7 @@
     return;
   }
   if (held.State == Waiting && held.EligibleAt <= Ctx.Now) {
-    Context::advance(Ctx.ChartSet->Ownership, held.State, "waited");
+    Ctx.advance(Ctx.ChartSet->Ownership, held.State, "waited");
     beginRecovery(id, held);
   }
   if (!callAllowed(held)) {
@@ -142,7 +142,7 @@
 }
 
 void Ownership::claim(const TargetId &id, Holding &held, Epoch after) {
-  if (!Context::advance(Ctx.ChartSet->Ownership, held.State, "claim")) {
+  if (!Ctx.advance(Ctx.ChartSet->Ownership, held.State, "claim")) {
     return;
   }
   held.Record = OwnerRecord{
@@ -168,7 +168,7 @@
 
 void Ownership::handOver(const TargetId &id, Holding &held,
                          const Instance &to) {
-  Context::advance(Ctx.ChartSet->Ownership, held.State, "hand_over");
+  Ctx.advance(Ctx.ChartSet->Ownership, held.State, "hand_over");
   held.Record = OwnerRecord{
       to, Epoch{held.Record.Number.Value + 1}, freshSuccessors(id, to.Host),
       Ctx.Me.Host.Text + "/" + std::to_string(Ctx.Me.Life.Value) + "/" +
@@ -239,7 +239,7 @@
                                 const OwnerRecord &record) {
   onRows({OwnerRow{id, record.Number, record.Owner}});
   if (record.Owner == Ctx.Me && record.HandedOver) {
-    Context::advance(Ctx.ChartSet->Ownership, held.State, "claim");
+    Ctx.advance(Ctx.ChartSet->Ownership, held.State, "claim");
     held.Record = record;
     enter(id, held, Ctx.Now - Ctx.Limits.PromiseLife, false);
     return;
@@ -366,8 +366,8 @@
   held.OpenWrite.reset();
   held.ConfirmedAt = sentAt;
   held.EligibleAt = Ctx.Now + Ctx.Limits.PromiseLife + Ctx.Limits.DriftMargin;
-  Context::advance(Ctx.ChartSet->Ownership, held.State,
-                   wait ? "swapped" : "handed_over");
+  Ctx.advance(Ctx.ChartSet->Ownership, held.State,
+              wait ? "swapped" : "handed_over");
   Ctx.decide("own", {{"target", id.Text},
                      {"epoch", std::to_string(held.Record.Number.Value)},
                      {"waits", wait ? "true" : "false"}});
@@ -384,13 +384,13 @@
 void Ownership::recovered(const TargetId &target) {
   const auto it = Holdings.find(target);
   if (it != Holdings.end()) {
-    Context::advance(Ctx.ChartSet->Ownership, it->second.State, "recovered");
+    Ctx.advance(Ctx.ChartSet->Ownership, it->second.State, "recovered");
   }
 }
 
 void Ownership::drop(const TargetId &id, Holding &held, const char *why) {
   Ctx.decide("disown", {{"target", id.Text}, {"reason", why}});
-  Context::advance(Ctx.ChartSet->Ownership, held.State, "lost");
+  Ctx.advance(Ctx.ChartSet->Ownership, held.State, "lost");
   held.ConfirmedAt.reset();
   held.PromisedAt.clear();
   held.OpenWrite.reset();
--- a/packages/core/src/queue.cpp
+++ b/packages/core/src/queue.cpp
@@ -49,7 +49,7 @@
       return;
     }
     leaveQueue(id, request);
-    refuse(id, request, gone ? Refusal::NoPool : Refusal::QueueTimeout);
+    refuseTruly(id, request, gone ? Refusal::NoPool : Refusal::QueueTimeout);
   }
 }
 
--- a/packages/core/src/router.cpp
+++ b/packages/core/src/router.cpp
@@ -7,6 +7,7 @@
 Router::Router(std::unique_ptr<detail::Core> core) : Impl(std::move(core)) {}
 Router::~Router() = default;
 Router::Router(Router &&) noexcept = default;
+Router &Router::operator=(Router &&) noexcept = default;
 
 std::vector<Effect> Router::handle(const Event &event) {
   return Impl->handle(event);
--- a/packages/core/src/slots.cpp
+++ b/packages/core/src/slots.cpp
@@ -14,9 +14,9 @@
 
 } // namespace
 
-Slots::Slots(const Chart &chart, const TargetConfig &config, Time now)
-    : State(chart.initial()), Limit(config.ColdSlots), StartedAt(now),
-      RestUntil(now) {}
+Slots::Slots(Context &context, const TargetConfig &config, Time now)
+    : State(context.ChartSet->Target.initial()), Limit(config.ColdSlots),
+      StartedAt(now), RestUntil(now) {}
 
 std::uint32_t Slots::limit(const TargetConfig &config, Time now) const {
   const std::uint32_t floor = config.ColdSlots;
@@ -49,29 +49,29 @@
 
 bool Slots::release(const SlotKey &key) { return Uses.erase(key) > 0; }
 
-void Slots::noteCompleted(const Chart &chart, const TargetConfig &config,
+void Slots::noteCompleted(Context &context, const TargetConfig &config,
                           Time now) {
   FailuresInRow = 0;
   const bool nearLimit = inUse() + 2 >= limit(config, now);
   if (nearLimit && Limit < config.Slots) {
     ++Limit;
   }
-  Context::advance(chart, State, "completed", [&](const std::string &) {
-    return limit(config, now) >= config.Slots;
-  });
+  context.advance(
+      context.ChartSet->Target, State, "completed",
+      [&](const std::string &) { return limit(config, now) >= config.Slots; });
 }
 
-void Slots::noteRestart(const Chart &chart, const TargetConfig &config,
+void Slots::noteRestart(Context &context, const TargetConfig &config,
                         Time now) {
   Limit = config.ColdSlots;
   StartedAt = now;
   const std::uint32_t doublings = std::min(FailuresInRow, MaxRestDoublings);
   RestUntil = now + FirstRest * (1U << doublings);
   ++FailuresInRow;
-  Context::advance(chart, State, "restarted");
+  context.advance(context.ChartSet->Target, State, "restarted");
 }
 
-bool Slots::noteReport(const Chart &chart, const TargetConfig &config,
+bool Slots::noteReport(Context &context, const TargetConfig &config,
                        const LoadReport &report, Time now) {
   KnownBefore.push_back(static_cast<std::uint32_t>(Uses.size()));
   if (KnownBefore.size() > ReportLag) {
@@ -83,7 +83,7 @@
   const bool restarted = !StartId.empty() && StartId != report.StartId;
   StartId = report.StartId;
   if (restarted) {
-    noteRestart(chart, config, now);
+    noteRestart(context, config, now);
     FailuresInRow = 0;
   }
   return restarted;
@@ -94,16 +94,16 @@
   Limit = std::clamp(held, config.ColdSlots, config.Slots);
 }
 
-void Slots::noteAccepted(const Chart &chart, const TargetConfig &config,
+void Slots::noteAccepted(Context &context, const TargetConfig &config,
                          bool accepted, Time now) {
   if (!accepted) {
-    Context::advance(chart, State, "drain");
+    context.advance(context.ChartSet->Target, State, "drain");
     if (Uses.empty()) {
-      Context::advance(chart, State, "emptied");
+      context.advance(context.ChartSet->Target, State, "emptied");
     }
     return;
   }
-  if (Context::advance(chart, State, "readmit")) {
+  if (context.advance(context.ChartSet->Target, State, "readmit")) {
     Limit = config.ColdSlots;
     StartedAt = now;
   }
--- a/packages/core/src/slots.h
+++ b/packages/core/src/slots.h
@@ -25,7 +25,7 @@
 public:
   Slots() = default;
   /// Starts cold; `held` grants of earlier owners are in use.
-  Slots(const Chart &chart, const TargetConfig &config, Time now);
+  Slots(Context &context, const TargetConfig &config, Time now);
 
   /// Slots that may still be granted now.
   std::uint32_t free(const TargetConfig &config, Time now) const;
@@ -33,17 +33,17 @@
   /// Frees a slot; false when it was not in use.
   bool release(const SlotKey &key);
   /// Grows the limit after a completed request.
-  void noteCompleted(const Chart &chart, const TargetConfig &config, Time now);
+  void noteCompleted(Context &context, const TargetConfig &config, Time now);
   /// Drops the limit to the floor after a failure or a new start.
-  void noteRestart(const Chart &chart, const TargetConfig &config, Time now);
+  void noteRestart(Context &context, const TargetConfig &config, Time now);
   /// Takes a load report; true when the target has started anew.
-  bool noteReport(const Chart &chart, const TargetConfig &config,
+  bool noteReport(Context &context, const TargetConfig &config,
                   const LoadReport &report, Time now);
   /// Sets the limit to what the target was seen to bear at a take-over.
   void adoptLoad(const TargetConfig &config);
   /// Follows the operators' in and out.
-  void noteAccepted(const Chart &chart, const TargetConfig &config,
-                    bool accepted, Time now);
+  void noteAccepted(Context &context, const TargetConfig &config, bool accepted,
+                    Time now);
 
   const std::string &state() const { return State; }
   std::uint32_t limit(const TargetConfig &config, Time now) const;
--- a/packages/core/test/chart_test.cpp
+++ b/packages/core/test/chart_test.cpp
@@ -11,7 +11,7 @@
   std::vector<std::string> Faults;
 
   std::optional<Chart> parse(const std::string &text) {
-    return Chart::parse(text, Words, Faults);
+    return Chart::parse("door", text, Words, Faults);
   }
 };
 
--- a/packages/core/test/config_test.cpp
+++ b/packages/core/test/config_test.cpp
@@ -26,6 +26,8 @@
   }
 };
 
+std::string in20(const std::string &fault) { return "20-bad.json: " + fault; }
+
 } // namespace
 
 TEST_CASE_METHOD(ConfigFixture, "config_valid_files_parsed") {
@@ -61,12 +63,11 @@
         std::vector<std::string>{
             "30-broken.json: /: expected a JSON object",
             "20-bad.json: /targets/m2/address: expected \"IP:port\"",
-            "20-bad.json: /teams/prints/weight: expected an integer from 1 to "
-            "1000",
-            "20-bad.json: /teams/schools: expected only the keys weight, "
-            "queue_limit, key_sha256, not \"wieght\"",
-            "20-bad.json: /: expected only the keys zones, pools, targets "
-            "and teams, not \"extra\"",
+            in20("/teams/prints/weight: expected an integer from 1 to 1000"),
+            in20("/teams/schools: expected only the keys weight, queue_limit, "
+                 "key_sha256, not \"wieght\""),
+            in20("/: expected only the keys zones, pools, targets and teams, "
+                 "not \"extra\""),
             "20-bad.json: /targets/m2/pool: expected the name of a pool"});
 }
 
--- a/packages/router/src/control.cpp
+++ b/packages/router/src/control.cpp
@@ -107,6 +107,7 @@
     handle(CallerGone{id});
     const auto it = Open.find(id);
     if (it != Open.end() && !it->second.Dispatched) {
+      Kept.finish(id, Refusal::AttemptAbandoned);
       tell(id, Released{}, true);
     }
   });
@@ -132,6 +133,9 @@
       Counters.request(end == ExchangeEnd::Complete ? "complete"
                                                     : "caller_left");
     }
+    if (end == ExchangeEnd::CallerLeftUnsent) {
+      Kept.finish(id, Refusal::AttemptAbandoned);
+    }
     handle(ExchangeEnded{id, end, total});
     const bool final = end == ExchangeEnd::Complete ||
                        end == ExchangeEnd::CallerLeft ||
@@ -251,6 +255,9 @@
   logLine("decision", effect.What, effect.Facts);
 }
 
+// Steps matter to tests only; decisions are logged.
+void Control::apply(Step &) {}
+
 void Control::publish() { Shared.set(Latest); }
 
 asio::awaitable<void> Control::callPlatform(PlatformCall call) {
--- a/packages/router/src/control.h
+++ b/packages/router/src/control.h
@@ -97,6 +97,7 @@
   void apply(MembersChanged &effect);
   void apply(Stopped &effect);
   void apply(Decision &effect);
+  void apply(Step &effect);
   void tell(RequestId id, RequestCommand command, bool last);
   void publish();
   void scheduleTick();
--- a/packages/router/src/problem.cpp
+++ b/packages/router/src/problem.cpp
@@ -48,6 +48,10 @@
     return {503, "No target answered",
             "targets refused the request and no retry is left", Outcome::NotRun,
             retryAfter};
+  case Refusal::AttemptAbandoned:
+    return {503, "Attempt abandoned",
+            "the first request with this key left before it ran",
+            Outcome::NotRun, retryAfter};
   case Refusal::OutcomeUnknown:
     return {502, "Outcome unknown",
             "the request may have run; its answer was lost", Outcome::Unknown,
--- a/packages/router/test/fleet_test.cpp
+++ b/packages/router/test/fleet_test.cpp
@@ -4,6 +4,7 @@
 #include "caller.h"
 #include "local_fleet.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <nlohmann/json.hpp>
@@ -104,6 +105,7 @@
   std::atomic<int> begun{0};
   std::atomic<int> whole{0};
   std::vector<std::thread> callers;
+  callers.reserve(streams);
   for (int i = 0; i < streams; ++i) {
     callers.emplace_back([&, i] {
       const std::string prompt = "stream " + std::to_string(i);
