--- a/packages/harness/src/fleet.cpp
+++ b/packages/harness/src/fleet.cpp
@@ -1,5 +1,7 @@
 #include "fleet.h"
 
+#include "nutmegsill/codec.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -460,7 +462,9 @@
 }
 
 void VirtualFleet::sendPeer(const HostId &from, const SendPeer &send) {
-  ++MessageCounts[messageName(send.Body)];
+  Traffic &traffic = ByType[messageName(send.Body)];
+  ++traffic.Messages;
+  traffic.Bytes += encodeMessage(send.Body).size();
   const Instance sender{from, Hosts[from].Life};
   const auto deliver = [this, sender, send] {
     const auto to = Hosts.find(send.To);
