--- a/packages/harness/src/fleet.cpp
+++ b/packages/harness/src/fleet.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Duration HostListInterval = milliseconds(500);
+constexpr Duration IdleSampling = milliseconds(100);
 constexpr Duration SlowService = milliseconds(800);
 constexpr Duration CallTimeout = milliseconds(1000);
 constexpr std::int64_t MaxDrift = 20;
@@ -570,15 +571,32 @@
   for (const auto &[id, target] : Targets) {
     const std::uint32_t bears = bearable(target);
     const std::uint32_t used = static_cast<std::uint32_t>(target.Work.size());
-    if (waiting[target.Plan.Pool] > 0 && used < bears) {
+    const std::vector<TargetId> &out = Seen.Accepted.back().Out;
+    const bool in = std::find(out.begin(), out.end(), id) == out.end() &&
+                    target.RefusesUntil <= Now;
+    if (in && waiting[target.Plan.Pool] > 0 && used < bears) {
       Idle[target.Plan.Pool] += since * (bears - used);
     }
   }
+  for (const auto &[pool, time] : Idle) {
+    std::map<Time, Duration> &samples = IdleBy[pool];
+    if (samples.empty() || Now - samples.rbegin()->first > IdleSampling) {
+      samples[Now] = time;
+    }
+  }
 }
 
-Duration VirtualFleet::idleWhileWaiting(const PoolId &pool) const {
-  const auto it = Idle.find(pool);
-  return it == Idle.end() ? Duration(0) : it->second;
+Duration VirtualFleet::idleWhileWaiting(const PoolId &pool, Time from,
+                                        Time until) const {
+  const auto it = IdleBy.find(pool);
+  if (it == IdleBy.end() || it->second.empty()) {
+    return Duration(0);
+  }
+  const auto at = [&samples = it->second](Time time) {
+    const auto next = samples.upper_bound(time);
+    return next == samples.begin() ? Duration(0) : std::prev(next)->second;
+  };
+  return at(until) - at(from);
 }
 
 void VirtualFleet::dispatch(const HostId &id, const Dispatch &order) {
--- a/packages/harness/src/fleet.h
+++ b/packages/harness/src/fleet.h
@@ -124,7 +124,7 @@
   const std::map<std::string, Traffic> &messages() const { return ByType; }
   /// Time for which slots of the pool were idle, per slot of a warm target,
   /// while a call of the pool waited.
-  Duration idleWhileWaiting(const PoolId &pool) const;
+  Duration idleWhileWaiting(const PoolId &pool, Time from, Time until) const;
   std::uint64_t platformCalls() const { return Calls; }
   const std::vector<std::string> &lines() const { return Lines; }
 
@@ -226,6 +226,8 @@
   History Seen;
   std::map<std::string, Traffic> ByType;
   std::map<PoolId, Duration> Idle;
+  /// `Idle` by time, about once in a hundred milliseconds.
+  std::map<PoolId, std::map<Time, Duration>> IdleBy;
   std::map<PoolId, std::int64_t> OpenCalls;
   std::vector<std::string> Lines;
   Time SlotsNotedAt;
--- a/packages/harness/src/workload.cpp
+++ b/packages/harness/src/workload.cpp
@@ -130,8 +130,9 @@
   }
   report.Gap = largestGap(history, pool, weights, from, until);
   const Duration all = (until - from) * slots;
-  report.Idle = static_cast<double>(fleet.idleWhileWaiting(pool).count()) /
-                static_cast<double>(all.count());
+  report.Idle =
+      static_cast<double>(fleet.idleWhileWaiting(pool, from, until).count()) /
+      static_cast<double>(all.count());
   report.Messages = fleet.messages();
   std::uint64_t bytes = 0;
   for (const auto &[type, traffic] : report.Messages) {
