Demands go to three owners and widen only for a team that falls behind; owners offer

Change: a waiting demand is repeated to three owners; to more, doubling, while the team's tag is two requests behind the highest tag at which an owner lately granted; an unserved demand still spreads once, doubling every 30 ms; an owner whose slots stay free offers them to three entries in turn. Ruled out: the home's lift of a team (its total followed its own service).

--- a/packages/core/include/nutmegsill/message.h
+++ b/packages/core/include/nutmegsill/message.h
@@ -70,6 +70,12 @@
   std::uint32_t Free = 0;
 };
 
+/// Tells an entry that slots of the pool are free and nothing waits for them.
+struct Offer {
+  PoolId Pool;
+  std::uint32_t Free = 0;
+};
+
 /// How the use of a grant ended. `Reused`: the request is complete and the
 /// entry has put its next one into the same slot.
 enum class SettleOutcome { Unused, Completed, Failed, Reused };
@@ -157,7 +163,7 @@
 using Message =
     std::variant<Heartbeat, HeartbeatReply, Demand, Grant, Settle, Usage,
                  UsageReply, OwnerMap, OwnerMapRequest, InFlightQuery,
-                 InFlightReply, ConfigRequest, ConfigReply>;
+                 InFlightReply, ConfigRequest, ConfigReply, Offer>;
 
 /// Name of the message's type, for counters and logs.
 const char *messageName(const Message &message);
--- a/packages/core/include/nutmegsill/router.h
+++ b/packages/core/include/nutmegsill/router.h
@@ -44,8 +44,16 @@
   Duration RebalanceAfter = milliseconds(3000);
   /// Owners that a new demand goes to.
   std::uint32_t FirstWidth = 1;
-  /// Owners that a demand goes to at the most.
-  std::uint32_t MaxWidth = 16;
+  /// Owners that a demand is spread to at the most when it is not served.
+  std::uint32_t MaxWidth = 64;
+  /// Owners that a waiting demand is repeated to.
+  std::uint32_t RefreshWidth = 3;
+  /// An owner whose slots stay free this long offers them to entries.
+  Duration OfferAfter = milliseconds(50);
+  /// Longest pause between two offers.
+  Duration OfferPause = milliseconds(800);
+  /// Entries that an offer goes to.
+  std::uint32_t OfferFan = 3;
   /// Peers that a router sends heartbeats to beside successors.
   std::uint32_t HeartbeatPeers = 12;
   /// Dispatches of one request at the most.
--- a/packages/core/src/core.cpp
+++ b/packages/core/src/core.cpp
@@ -165,6 +165,11 @@
               Grants.onInFlight(from, it);
             }
           },
+          [&](const Offer &it) {
+            if (serving()) {
+              Requests.onOffer(host, it);
+            }
+          },
           [&](const ConfigRequest &it) { Config.onConfigRequest(host, it); },
           [&](const ConfigReply &it) { Config.onConfigReply(it); },
       },
--- a/packages/core/src/entry.cpp
+++ b/packages/core/src/entry.cpp
@@ -132,9 +132,10 @@
   }
   Shares.setBacklogged(team, true);
   queue.Width = Ctx.Limits.FirstWidth;
+  queue.RefreshWidth = Ctx.Limits.RefreshWidth;
   queue.Contacted.clear();
   queue.WidenedAt = Ctx.Now;
-  sendDemand(team, queue);
+  sendDemand(team, queue, Ctx.Limits.FirstWidth);
 }
 
 void Entry::leaveQueue(RequestId id, const Request &request) {
--- a/packages/core/src/entry.h
+++ b/packages/core/src/entry.h
@@ -29,6 +29,8 @@
   /// Takes the results of claims.
   void takeClaims();
   void onGrant(const HostId &owner, const Grant &grant, bool serving);
+  /// Answers an owner with free slots with the lowest waiting queue.
+  void onOffer(const HostId &owner, const Offer &offer);
   void onInFlightQuery(const HostId &owner, const InFlightQuery &query);
   void onTick(bool serving);
 
@@ -61,8 +63,11 @@
     std::deque<RequestId> Waiting;
     std::set<HostId> Contacted;
     std::uint32_t Width = 0;
+    /// Owners that the demand is repeated to.
+    std::uint32_t RefreshWidth = 0;
     std::optional<Time> SentAt;
     std::optional<Time> WidenedAt;
+    std::optional<Time> AdaptedAt;
     /// `Count` of the last demand, less the requests served since.
     std::int64_t KnownToOwners = 0;
   };
@@ -101,7 +106,12 @@
   void tickQueue(const TeamInPool &team, Queue &queue, bool serving);
   void expire(const TeamInPool &team, Queue &queue);
   void widen(const TeamInPool &team, Queue &queue);
-  void sendDemand(const TeamInPool &team, Queue &queue);
+  /// Repeats the demand to more owners while the team falls behind.
+  void adaptWidth(const TeamInPool &team, Queue &queue);
+  /// Repeats the demand to the first `width` owners.
+  void sendDemand(const TeamInPool &team, Queue &queue, std::uint32_t width);
+  void sendDemandTo(const TeamInPool &team, Queue &queue,
+                    const std::vector<HostId> &owners);
   void cancelDemand(const TeamInPool &team, Queue &queue);
   std::vector<HostId> ownersOf(const PoolId &pool, const TeamId &team) const;
 
--- a/packages/core/src/granter.cpp
+++ b/packages/core/src/granter.cpp
@@ -150,6 +150,43 @@
       pump(pool);
     }
   }
+  offerSurplus();
+}
+
+bool Granter::anyWaiting(const PoolId &pool) const {
+  const auto it = Pools.find(pool);
+  return it != Pools.end() &&
+         std::any_of(it->second.begin(), it->second.end(),
+                     [](const auto &row) { return row.second.Left > 0; });
+}
+
+void Granter::offerSurplus() {
+  for (const auto &[pool, config] : Ctx.Config->Pools) {
+    std::uint32_t free = 0;
+    freest(pool, free);
+    if (free == 0 || anyWaiting(pool)) {
+      Surpluses.erase(pool);
+      continue;
+    }
+    const auto [it, fresh] = Surpluses.try_emplace(
+        pool, Surplus{Ctx.Now, Ctx.Now + Ctx.Limits.OfferAfter,
+                      Ctx.Limits.OfferAfter, 0});
+    if (!fresh && it->second.NextOffer <= Ctx.Now) {
+      offer(pool, it->second, free);
+    }
+  }
+}
+
+void Granter::offer(const PoolId &pool, Surplus &surplus, std::uint32_t free) {
+  surplus.Pause = std::min(2 * surplus.Pause, Ctx.Limits.OfferPause);
+  surplus.NextOffer = Ctx.Now + surplus.Pause;
+  const std::vector<HostId> entries =
+      Members.ranking("offer/" + Ctx.Me.Host.Text);
+  const std::size_t fan =
+      std::min<std::size_t>(Ctx.Limits.OfferFan, entries.size());
+  for (std::size_t i = 0; i < fan; ++i) {
+    Ctx.send(entries[surplus.NextEntry++ % entries.size()], Offer{pool, free});
+  }
 }
 
 void Granter::tickTarget(const TargetId &id, Owned &owned) {
--- a/packages/core/src/granter.h
+++ b/packages/core/src/granter.h
@@ -39,6 +39,14 @@
   };
   using WaitingKey = std::pair<TeamId, HostId>;
 
+  /// Slots of a pool that nothing waits for.
+  struct Surplus {
+    Time FreeSince;
+    Time NextOffer;
+    Duration Pause;
+    std::size_t NextEntry = 0;
+  };
+
   /// A target under this owner.
   struct Owned {
     Slots Load;
@@ -55,6 +63,9 @@
   /// Counts a request that an entry put into its freed slot as served.
   void noteReuse(const PoolId &pool, const WaitingKey &key);
   void expireDemands();
+  void offerSurplus();
+  void offer(const PoolId &pool, Surplus &surplus, std::uint32_t free);
+  bool anyWaiting(const PoolId &pool) const;
   /// Grants while a slot of the pool is free and a demand waits.
   void pump(const PoolId &pool);
   std::map<WaitingKey, Waiting>::iterator
@@ -69,6 +80,7 @@
   Ownership &Owners;
   std::map<TargetId, Owned> Targets;
   std::map<PoolId, std::map<WaitingKey, Waiting>> Pools;
+  std::map<PoolId, Surplus> Surpluses;
   std::uint64_t LastGrant = 0;
 };
 
--- a/packages/core/src/ledger.cpp
+++ b/packages/core/src/ledger.cpp
@@ -54,14 +54,31 @@
   std::vector<PoolFloor> recent;
   for (const auto &[pool, hosts] : Granted) {
     const auto it = hosts.find(Ctx.Me.Host);
-    const Duration life = StaleIntervals * Ctx.Limits.UsageInterval;
-    if (it != hosts.end() && Ctx.Now - it->second.At < life) {
+    if (it != hosts.end() && isRecent(it->second)) {
       recent.push_back({pool, it->second.Tag});
     }
   }
   return recent;
 }
 
+bool Ledger::isRecent(const Floor &floor) const {
+  return Ctx.Now - floor.At < StaleIntervals * Ctx.Limits.UsageInterval;
+}
+
+VirtualService Ledger::ceilingOf(const PoolId &pool) const {
+  VirtualService highest;
+  const auto hosts = Granted.find(pool);
+  if (hosts == Granted.end()) {
+    return highest;
+  }
+  for (const auto &[host, floor] : hosts->second) {
+    if (isRecent(floor)) {
+      highest = std::max(highest, floor.Tag);
+    }
+  }
+  return highest;
+}
+
 VirtualService Ledger::floorOf(const PoolId &pool) const {
   VirtualService &lowest = Lowest[pool];
   const auto hosts = Granted.find(pool);
@@ -70,9 +87,7 @@
   }
   std::optional<VirtualService> least;
   for (const auto &[host, floor] : hosts->second) {
-    const bool recent =
-        Ctx.Now - floor.At < StaleIntervals * Ctx.Limits.UsageInterval;
-    if (recent && (!least || floor.Tag < *least)) {
+    if (isRecent(floor) && (!least || floor.Tag < *least)) {
       least = floor.Tag;
     }
   }
--- a/packages/core/src/ledger.h
+++ b/packages/core/src/ledger.h
@@ -25,6 +25,8 @@
 
   /// The lowest service at which slots of the pool are granted, as known here.
   VirtualService floorOf(const PoolId &pool) const;
+  /// The highest service at which an owner lately granted a slot of the pool.
+  VirtualService ceilingOf(const PoolId &pool) const;
 
   /// Notes at which service a slot was granted by this owner.
   void noteGrant(const PoolId &pool, VirtualService tag);
@@ -73,6 +75,7 @@
     VirtualService Tag;
     Time At;
   };
+  bool isRecent(const Floor &floor) const;
 
   void report(const TeamInPool &team, Counter &counter);
   /// Takes in the first report of an entry whose past other homes knew.
--- a/packages/core/src/queue.cpp
+++ b/packages/core/src/queue.cpp
@@ -37,8 +37,11 @@
   const std::int64_t waiting = static_cast<std::int64_t>(queue.Waiting.size());
   const bool update = queue.KnownToOwners < std::min(waiting, DemandReserve) &&
                       olderThan(queue.SentAt, Ctx.Now, Ctx.Limits.DemandGap);
+  if (olderThan(queue.AdaptedAt, Ctx.Now, Ctx.Limits.DemandRefresh)) {
+    adaptWidth(team, queue);
+  }
   if (refresh || update) {
-    sendDemand(team, queue);
+    sendDemand(team, queue, queue.RefreshWidth);
   }
 }
 
@@ -58,42 +61,65 @@
   }
 }
 
+void Entry::adaptWidth(const TeamInPool &team, Queue &queue) {
+  queue.AdaptedAt = Ctx.Now;
+  const TeamConfig &config = Ctx.Config->Teams.at(team.second);
+  const VirtualService one = perWeight(estimate(team), config.Weight);
+  const bool behind =
+      Shares.tag(team) + one + one < Shares.ceilingOf(team.first);
+  if (behind) {
+    queue.RefreshWidth = std::min(Ctx.Limits.MaxWidth, 2 * queue.RefreshWidth);
+  } else {
+    queue.RefreshWidth =
+        std::max(Ctx.Limits.RefreshWidth, queue.RefreshWidth - 1);
+  }
+}
+
 void Entry::widen(const TeamInPool &team, Queue &queue) {
   queue.WidenedAt = Ctx.Now;
   if (queue.Width >= Ctx.Limits.MaxWidth) {
     return;
   }
   queue.Width = std::min(Ctx.Limits.MaxWidth, queue.Width * 2);
-  const std::size_t known = ownersOf(team.first, team.second).size();
-  if (queue.Contacted.size() < std::min<std::size_t>(known, queue.Width)) {
-    sendDemand(team, queue);
+  std::vector<HostId> fresh;
+  for (const HostId &host : ownersOf(team.first, team.second)) {
+    const bool room = queue.Contacted.size() + fresh.size() < queue.Width;
+    if (room && queue.Contacted.count(host) == 0) {
+      fresh.push_back(host);
+    }
   }
+  sendDemandTo(team, queue, fresh);
 }
 
-void Entry::sendDemand(const TeamInPool &team, Queue &queue) {
+void Entry::sendDemand(const TeamInPool &team, Queue &queue,
+                       std::uint32_t width) {
   std::vector<HostId> owners = ownersOf(team.first, team.second);
-  if (owners.size() > queue.Width) {
-    owners.resize(queue.Width);
-  }
-  const std::set<HostId> now(owners.begin(), owners.end());
-  const TeamConfig &config = Ctx.Config->Teams.at(team.second);
-  Demand demand{team.first,
-                team.second,
-                Shares.tag(team),
-                static_cast<std::uint32_t>(queue.Waiting.size()),
-                perWeight(estimate(team), config.Weight),
-                Ctx.Now};
+  owners.resize(std::min<std::size_t>(owners.size(), width));
   queue.SentAt = Ctx.Now;
-  queue.KnownToOwners = demand.Count;
-  std::set<HostId> dropped = queue.Contacted;
-  queue.Contacted = now;
-  for (const HostId &host : now) {
-    dropped.erase(host);
+  queue.KnownToOwners = static_cast<std::int64_t>(queue.Waiting.size());
+  sendDemandTo(team, queue, owners);
+}
+
+void Entry::sendDemandTo(const TeamInPool &team, Queue &queue,
+                         const std::vector<HostId> &owners) {
+  const TeamConfig &config = Ctx.Config->Teams.at(team.second);
+  const Demand demand{team.first,
+                      team.second,
+                      Shares.tag(team),
+                      static_cast<std::uint32_t>(queue.Waiting.size()),
+                      perWeight(estimate(team), config.Weight),
+                      Ctx.Now};
+  for (const HostId &host : owners) {
+    queue.Contacted.insert(host);
     Ctx.send(host, demand);
   }
-  demand.Count = 0;
-  for (const HostId &host : dropped) {
-    Ctx.send(host, demand);
+}
+
+void Entry::onOffer(const HostId &owner, const Offer &offer) {
+  Hints[{offer.Pool, owner}] = FreeHint{offer.Free, Ctx.Now};
+  const std::optional<TeamInPool> team = lowestQueue(offer.Pool);
+  if (team && Ctx.Config->Teams.count(team->second) != 0) {
+    sendDemandTo(*team, Queues.at(*team), {owner});
   }
 }
 
--- a/packages/wire/src/codec.cpp
+++ b/packages/wire/src/codec.cpp
@@ -121,6 +121,13 @@
           in.free()};
 }
 
+void put(const Offer &from, wire::Peer &peer) {
+  peer.mutable_offer()->set_pool(from.Pool.Text);
+  peer.mutable_offer()->set_free(from.Free);
+}
+
+Offer get(const wire::Offer &in) { return {PoolId{in.pool()}, in.free()}; }
+
 void put(const Settle &from, wire::Peer &peer) {
   wire::Settle &out = *peer.mutable_settle();
   out.set_number(from.Number.Value);
@@ -135,7 +142,8 @@
     return std::nullopt;
   }
   return Settle{GrantId{in.number()}, TargetId{in.target()}, Epoch{in.epoch()},
-                static_cast<SettleOutcome>(in.outcome()), TeamId{in.next_team()}};
+                static_cast<SettleOutcome>(in.outcome()),
+                TeamId{in.next_team()}};
 }
 
 void put(const Usage &from, wire::Peer &peer) {
@@ -291,6 +299,8 @@
     return get(peer.config_request());
   case wire::Peer::kConfigReply:
     return get(peer.config_reply());
+  case wire::Peer::kOffer:
+    return get(peer.offer());
   case wire::Peer::BODY_NOT_SET:
     return std::nullopt;
   }
