A router puts the change it had accepted into force at once and passes it on

Change: the administration API hands the accepted head and files to the router's own decisions, which adopt them and send heartbeats; a router that hears of a higher revision asks the service and the peer in turn. Ruled out: grants kept from before (they live 2 s), and the check (the history shows acceptance at 24.00 s and dispatches after 29.00 s). What stays: a change whose accepting router dies before it told a peer, while the service is down, waits for the service (docs/PROMISES.md).

--- a/packages/core/include/nutmegsill/event.h
+++ b/packages/core/include/nutmegsill/event.h
@@ -138,12 +138,21 @@
   std::vector<Member> Members;
 };
 
+/// This router has had a configuration accepted by the service.
+struct ConfigAccepted {
+  /// Text of the head record.
+  std::string Head;
+  /// Texts by the order of the head's files, then overrides.
+  std::vector<std::string> Texts;
+};
+
 /// A planned stop begins.
 struct StopRequested {};
 
-using EventBody = std::variant<Tick, CallerRequest, CallerGone, AnswerProgress,
-                               ExchangeEnded, PeerMessage, PlatformReply,
-                               LoadReport, HostList, StopRequested>;
+using EventBody =
+    std::variant<Tick, CallerRequest, CallerGone, AnswerProgress, ExchangeEnded,
+                 PeerMessage, PlatformReply, LoadReport, HostList,
+                 ConfigAccepted, StopRequested>;
 
 struct Event {
   Time Now;
--- a/packages/core/src/configsync.cpp
+++ b/packages/core/src/configsync.cpp
@@ -148,7 +148,9 @@
   if (revision() < number) {
     if (olderThan(AskedPeerAt, Ctx.Now, PeerRetry)) {
       AskedPeerAt = Ctx.Now;
-      if (serviceReachable()) {
+      AskPeerNext = !AskPeerNext;
+      // In turn, since the service may have failed a moment ago.
+      if (AskPeerNext && serviceReachable()) {
         readHead();
       } else {
         Ctx.send(peer, ConfigRequest{number});
--- a/packages/core/src/configsync.h
+++ b/packages/core/src/configsync.h
@@ -50,6 +50,7 @@
   std::optional<Time> AnsweredAt;
   std::optional<Time> ConfirmedAt;
   std::optional<Time> AskedPeerAt;
+  bool AskPeerNext = false;
 };
 
 } // namespace nutmegsill::detail
--- a/packages/core/src/core.cpp
+++ b/packages/core/src/core.cpp
@@ -95,6 +95,12 @@
 
 void Core::on(const HostList &list) { Members.onHostList(list); }
 
+void Core::on(const ConfigAccepted &accepted) {
+  Config.onConfigReply(ConfigReply{accepted.Head, accepted.Texts});
+  // Peers ask for a revision that they do not have.
+  sendHeartbeats();
+}
+
 void Core::on(const StopRequested &) {
   if (!Ctx.advance(Ctx.ChartSet->Instance, State, "stop")) {
     return;
--- a/packages/core/src/core.h
+++ b/packages/core/src/core.h
@@ -30,6 +30,7 @@
   void on(const PlatformReply &reply);
   void on(const LoadReport &report);
   void on(const HostList &list);
+  void on(const ConfigAccepted &accepted);
   void on(const StopRequested &stop);
 
   void receive(const Instance &from, const Message &message);
--- a/packages/harness/src/fleet.cpp
+++ b/packages/harness/src/fleet.cpp
@@ -351,6 +351,16 @@
     }
   }
   Seen.Accepted.push_back(std::move(record));
+  // The router through which the operator made the change knows it at once.
+  for (const auto &[id, host] : Hosts) {
+    if (host.Decisions && !host.PausedUntil) {
+      const Incarnation life = host.Life;
+      const ConfigAccepted accepted{encode(head), {text}};
+      at(Now + delay(),
+         [this, id, life, accepted] { feed(id, life, accepted); });
+      break;
+    }
+  }
   return true;
 }
 
--- a/packages/platform/include/nutmegsill/config_store.h
+++ b/packages/platform/include/nutmegsill/config_store.h
@@ -46,6 +46,10 @@
 /// The change was accepted with this revision.
 struct Accepted {
   Revision Number;
+  /// Text of the head record in force.
+  std::string Head;
+  /// Texts by the order of the head's files, then overrides.
+  std::vector<std::string> Texts;
 };
 /// The configuration would have faults.
 struct Invalid {
--- a/packages/platform/src/config_store.cpp
+++ b/packages/platform/src/config_store.cpp
@@ -31,6 +31,20 @@
   return out;
 }
 
+/// The stored configuration as an accepted change.
+Accepted acceptedAs(const StoredConfig &stored, Revision number) {
+  Accepted result;
+  result.Number = number;
+  result.Head = encode(stored.Head);
+  for (const ConfigFile &it : stored.Files) {
+    result.Texts.push_back(it.Text);
+  }
+  for (const ConfigFile &it : stored.Overrides) {
+    result.Texts.push_back(it.Text);
+  }
+  return result;
+}
+
 std::vector<ConfigFile> joined(const StoredConfig &stored) {
   std::vector<ConfigFile> all = stored.Files;
   all.insert(all.end(), stored.Overrides.begin(), stored.Overrides.end());
@@ -148,7 +162,7 @@
     }
     for (const HeadChange &it : now->Head.Recent) {
       if (it.ChangeId == note.ChangeId) {
-        co_return Accepted{it.Number};
+        co_return acceptedAs(*now, it.Number);
       }
     }
     if (number <= now->Head.Number) {
@@ -167,7 +181,7 @@
   }
   for (const HeadChange &it : stored->Head.Recent) {
     if (it.ChangeId == note.ChangeId) {
-      co_return Accepted{it.Number};
+      co_return acceptedAs(*stored, it.Number);
     }
   }
   const ReplaceFolder *folder = std::get_if<ReplaceFolder>(&change);
@@ -204,7 +218,8 @@
   const PlatformResult result = co_await callKeyValue(Client, swap);
   const KvSwapped *swapped = std::get_if<KvSwapped>(&result);
   if (swapped != nullptr && swapped->Done) {
-    co_return Accepted{number};
+    stored->Head = head;
+    co_return acceptedAs(*stored, number);
   }
   co_return co_await settle(note, number);
 }
--- a/packages/router/src/admin.cpp
+++ b/packages/router/src/admin.cpp
@@ -308,6 +308,9 @@
           {{"change", note.ChangeId}, {"author", note.Author}});
   const ChangeResult result =
       co_await Decisions.store().apply(std::move(change), std::move(note));
+  if (const Accepted *it = std::get_if<Accepted>(&result)) {
+    Decisions.configAccepted(*it);
+  }
   co_return resultReply(result);
 }
 
--- a/packages/router/src/control.h
+++ b/packages/router/src/control.h
@@ -72,6 +72,10 @@
   boost::asio::io_context &context() { return Io; }
   Status status() const { return Decisions.status(); }
   ConfigStore &store() { return Store; }
+  /// Puts a change into force here at once, also when the service fails next.
+  void configAccepted(const Accepted &change) {
+    handle(ConfigAccepted{change.Head, change.Texts});
+  }
 
 private:
   Control(const Settings &settings, Metrics &counters, Router decisions,
