Longer refresh, usage and plain heartbeat intervals

Change: demands are repeated and usage reported every 1000 ms (500 before); heartbeats go every 400 ms to successors only, every 1200 ms to other peers. Ruled out: a longer heartbeat to successors, which would delay take-over.

--- a/packages/core/include/nutmegsill/router.h
+++ b/packages/core/include/nutmegsill/router.h
@@ -14,7 +14,10 @@
 
 /// Intervals and limits of the fleet; equal at every router.
 struct Timing {
+  /// Between heartbeats to successors, which must promise.
   Duration Heartbeat = milliseconds(400);
+  /// Heartbeats to other peers are sent once in this many.
+  std::uint32_t SparseHeartbeat = 3;
   /// Life of a promise or of a read of the owner record.
   Duration PromiseLife = milliseconds(2000);
   /// Bound on the drift between two clocks over `PromiseLife`.
@@ -25,11 +28,11 @@
   Duration GrantLife = milliseconds(2000);
   /// An unserved demand goes to twice as many owners after this time.
   Duration WidenAfter = milliseconds(30);
-  Duration DemandRefresh = milliseconds(500);
+  Duration DemandRefresh = milliseconds(1000);
   Duration DemandLife = milliseconds(2000);
   /// Shortest time between two demands of one queue.
   Duration DemandGap = milliseconds(20);
-  Duration UsageInterval = milliseconds(500);
+  Duration UsageInterval = milliseconds(1000);
   Duration LoadPoll = milliseconds(500);
   Duration ConfigPoll = milliseconds(1000);
   /// Without a newer sign of the configuration a router stops taking work.
--- a/packages/core/src/core.cpp
+++ b/packages/core/src/core.cpp
@@ -220,8 +220,13 @@
 void Core::sendHeartbeats() {
   BeatAt = Ctx.Now;
   std::set<HostId> peers = Owners.successorHosts();
-  for (const HostId &host : Members.heartbeatPeers(Config.serviceReachable())) {
-    peers.insert(host);
+  const bool reachable = Config.serviceReachable();
+  const bool all = Beats++ % Ctx.Limits.SparseHeartbeat == 0 ||
+                   Ctx.Self.Leaving || State == "starting";
+  if (all) {
+    for (const HostId &host : Members.heartbeatPeers(reachable)) {
+      peers.insert(host);
+    }
   }
   peers.erase(Ctx.Me.Host);
   Heartbeat beat;
--- a/packages/core/src/core.h
+++ b/packages/core/src/core.h
@@ -52,6 +52,7 @@
   ConfigSync Config;
   std::string State;
   std::optional<Time> BeatAt;
+  std::uint64_t Beats = 0;
   std::optional<Time> AskedMapAt;
   std::optional<Time> StopAt;
   std::optional<Time> IsolatedSince;
--- a/packages/core/src/ledger.cpp
+++ b/packages/core/src/ledger.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Usage intervals after which a silent entry or floor no longer counts.
-constexpr int StaleIntervals = 6;
+constexpr int StaleIntervals = 4;
 
 } // namespace
 
