Slots held by entries that died with their zone are freed by the target's reports

Cause: after a zone went dark, a third of the slots of the other zones stayed in use by grants of dead entries, for as long as the host list still named them. Without a recent report nothing is dropped. Ruled out: take-over (all targets granted again within 4820 ms of a kill).

--- a/packages/core/src/granter.cpp
+++ b/packages/core/src/granter.cpp
@@ -4,12 +4,19 @@
 
 namespace nutmegsill::detail {
 
+namespace {
+
+/// Load polls over which a target's report may lag.
+constexpr int ReportLag = 4;
+
+} // namespace
+
 void Granter::onDemand(const Instance &from, const Demand &demand) {
   std::map<WaitingKey, Waiting> &waiting = Pools[demand.Pool];
   const WaitingKey key{demand.Team, from.Host};
   const auto it = waiting.find(key);
   const bool stale = it != waiting.end() && it->second.EntryLife == from.Life &&
-                     demand.SentAt < it->second.Last.SentAt;
+                     demand.SentAt <= it->second.Last.SentAt;
   if (stale) {
     return;
   }
@@ -210,8 +217,18 @@
   }
 }
 
+bool Granter::isSilent(const HostId &entry) const {
+  const Peer *peer = Members.peer(entry);
+  const Duration patience = Ctx.Limits.GrantLife +
+                            Ctx.Limits.ReconcileInterval +
+                            ReportLag * Ctx.Limits.LoadPoll;
+  return entry != Ctx.Me.Host && peer != nullptr &&
+         Ctx.Now - peer->HeardAt > patience;
+}
+
 void Granter::reconcile(const TargetId &id, Owned &owned) {
   std::set<HostId> ask;
+  std::set<HostId> silent;
   std::vector<SlotKey> ended;
   for (const auto &[key, use] : owned.Load.uses()) {
     if (Ctx.Now - use.IssuedAt <= Ctx.Limits.GrantLife) {
@@ -222,6 +239,12 @@
     } else {
       ask.insert(key.Entry);
     }
+    if (isSilent(key.Entry)) {
+      silent.insert(key.Entry);
+    }
+  }
+  for (const HostId &host : silent) {
+    owned.Load.dropSilent(host, Ctx.Now, ReportLag * Ctx.Limits.LoadPoll);
   }
   for (const SlotKey &key : ended) {
     owned.Load.release(key);
--- a/packages/core/src/granter.h
+++ b/packages/core/src/granter.h
@@ -60,6 +60,9 @@
   void tickTarget(const TargetId &id, Owned &owned);
   void finishRecovery(const TargetId &id, Owned &owned);
   void reconcile(const TargetId &id, Owned &owned);
+  /// True when nothing was heard of the entry for so long that no grant to it
+  /// can be used any more and the target's reports show what it still runs.
+  bool isSilent(const HostId &entry) const;
   /// Counts a request that an entry put into its freed slot as served.
   void noteReuse(const PoolId &pool, const WaitingKey &key);
   void expireDemands();
--- a/packages/core/src/slots.cpp
+++ b/packages/core/src/slots.cpp
@@ -58,6 +58,18 @@
 
 bool Slots::release(const SlotKey &key) { return Uses.erase(key) > 0; }
 
+void Slots::dropSilent(const HostId &entry, Time now, Duration reportLife) {
+  if (olderThan(ReportedAt, now, reportLife)) {
+    return;
+  }
+  for (auto it = Uses.begin(); it != Uses.end();) {
+    it = it->first.Entry == entry ? Uses.erase(it) : std::next(it);
+  }
+  KnownBefore.clear();
+  const std::uint32_t known = static_cast<std::uint32_t>(Uses.size());
+  Foreign = Reported > known ? Reported - known : 0;
+}
+
 void Slots::noteCompleted(Context &context, const TargetConfig &config,
                           Time now) {
   FailuresInRow = 0;
@@ -82,6 +94,8 @@
 
 bool Slots::noteReport(Context &context, const TargetConfig &config,
                        const LoadReport &report, Time now) {
+  Reported = report.Running;
+  ReportedAt = now;
   KnownBefore.push_back(static_cast<std::uint32_t>(Uses.size()));
   if (KnownBefore.size() > ReportLag) {
     KnownBefore.pop_front();
--- a/packages/core/src/slots.h
+++ b/packages/core/src/slots.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 
 namespace nutmegsill::detail {
 
@@ -34,6 +35,10 @@
   bool renew(const SlotKey &key, Time now);
   /// Frees a slot; false when it was not in use.
   bool release(const SlotKey &key);
+  /// Frees the slots of an entry that has long been silent, and counts what the
+  /// target reports beyond the rest in their place. Does nothing without a
+  /// recent report.
+  void dropSilent(const HostId &entry, Time now, Duration reportLife);
   /// Grows the limit after a completed request.
   void noteCompleted(Context &context, const TargetConfig &config, Time now);
   /// Drops the limit to the floor after a failure or a new start.
@@ -64,6 +69,8 @@
   std::uint32_t Foreign = 0;
   /// Known grants at the last reports, newest last.
   std::deque<std::uint32_t> KnownBefore;
+  std::uint32_t Reported = 0;
+  std::optional<Time> ReportedAt;
   std::map<SlotKey, SlotUse> Uses;
 };
 
