--- a/packages/router/test/fleet_test.cpp
+++ b/packages/router/test/fleet_test.cpp
@@ -73,6 +73,11 @@
     CHECK(sendRaw(entry(0), "NONSENSE\r\n\r\n").rfind("HTTP/1.1 400", 0) == 0);
     CHECK(callModel(entry(0), "key-prints", "captions", "x", 1, true).Whole);
   }
+  SECTION("foreign bytes at the peer address change nothing") {
+    const std::string noise(2000, '\x7f');
+    CHECK(sendRaw(Fleet.routers()[0].Peer, noise).size() < noise.size());
+    CHECK(callModel(entry(0), "key-prints", "captions", "x", 4, true).Whole);
+  }
   SECTION("a repeated key gets the first answer at every router") {
     const CallerAnswer first =
         callService(entry(0), "key-prints", "/licences", "sale-1", "frame");
