--- a/packages/router/src/control.cpp
+++ b/packages/router/src/control.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr milliseconds TickInterval{10};
+constexpr milliseconds TickInterval{20};
 constexpr milliseconds HostListInterval{1000};
 constexpr milliseconds LoadTimeout{1000};
 constexpr unsigned Ok = 200;
--- a/packages/standins/src/process.h
+++ b/packages/standins/src/process.h
@@ -26,6 +26,7 @@
   /// Kills the process and waits for its end.
   void kill();
   bool running() const { return Id > 0; }
+  int id() const { return Id; }
 
 private:
   int Id = -1;
