--- a/packages/harness/src/history.cpp
+++ b/packages/harness/src/history.cpp
@@ -31,6 +31,10 @@
 
 } // namespace
 
+std::string identity(const CallRecord &call, std::size_t index) {
+  return call.Idempotent ? "call " + std::to_string(index) : "key " + call.Key;
+}
+
 Violations checkAtMostOnce(const History &history) {
   std::map<std::string, int> runs;
   Violations found;
--- a/packages/harness/src/history.h
+++ b/packages/harness/src/history.h
@@ -29,6 +29,9 @@
   std::string Expected;
 };
 
+/// What identifies the answer to a call: its key, or its place in the history.
+std::string identity(const CallRecord &call, std::size_t index);
+
 /// A target began to work on a call.
 struct RunRecord {
   std::size_t Call = 0;
