Ports of local fleets outside the outgoing range; service outage judged in virtual time

Cause 1: fleet_test failed once under the thread sanitizer with "Possible problem binding to port": ports were drawn from the range that outgoing connections use, so one could be taken between draw and bind. Change: ports below that range, a range of its own for each process. Cause 2: faults_test asked that every model call be complete during an outage of the platform; under the thread sanitizer one was not, since heartbeats of a slow process come late and its owner rightly stops. A verdict must not depend on the machine's speed. Change: that check is now in target_test in virtual time, and stricter: 150 s of outage under full load, every call complete, more than nine tenths of all slots in use.

--- a/packages/harness/test/target_test.cpp
+++ b/packages/harness/test/target_test.cpp
@@ -136,6 +136,23 @@
   CHECK(during > 0.9 * fullRate() * 2 / 3);
 }
 
+TEST_CASE_METHOD(LoadedFleet, "service_down_for_minutes_all_calls_served") {
+  start(Time(seconds(8)), Time(seconds(200)));
+  Fleet->at(Time(seconds(30)),
+            [this] { Fleet->setPlatform(PlatformFault::Down, seconds(150)); });
+  Fleet->runUntil(Time(seconds(200)));
+  const double during = serviceRate(Time(seconds(36)), Time(seconds(180)));
+  std::cout << "service down for 150 s: share of all slots "
+            << during / fullRate() << "\n";
+  CHECK(during > 0.9 * fullRate());
+  // Model calls need no claim, so an outage refuses none of them.
+  for (const CallRecord &it : Fleet->history().Calls) {
+    const bool judged = it.SubmittedAt < Time(seconds(180));
+    const bool served = !judged || it.End == CallEnd::Complete;
+    CHECK(served);
+  }
+}
+
 TEST_CASE_METHOD(LoadedFleet, "owner_killed_targets_granted_again") {
   start(Time(seconds(8)), Time(seconds(50)));
   Fleet->runUntil(Time(seconds(30)));
--- a/packages/router/test/faults_test.cpp
+++ b/packages/router/test/faults_test.cpp
@@ -192,10 +192,6 @@
     Fleet.platformFault("ok");
   });
   judge();
-  // Model calls need no claim, so an outage does not refuse them.
-  for (const harness::CallRecord &it : Seen.Calls) {
-    CHECK((!it.Idempotent || it.End == CallEnd::Complete));
-  }
 }
 
 TEST_CASE_METHOD(FaultFixture, "faults_target_resets_promises_hold") {
--- a/packages/router/test/settings_test.cpp
+++ b/packages/router/test/settings_test.cpp
@@ -39,13 +39,13 @@
   Text["limits"] = {{"max_body_bytes", 0}, {"max_boddy", 1}};
   Text["extra"] = 1;
   const SettingsResult result = parseSettings(Text.dump());
+  const std::string hashFault = "/admin/key_sha256: expected a SHA-256 hash "
+                                "as 64 lower-case hex digits";
   CHECK_FALSE(result.Value);
   CHECK(result.Faults ==
         std::vector<std::string>{
             "/zone: expected a non-empty string",
-            "/entry: expected \"IP:port\"",
-            "/admin/key_sha256: expected a SHA-256 hash as 64 lower-case hex "
-            "digits",
+            "/entry: expected \"IP:port\"", hashFault,
             "/limits/max_body_bytes: expected an integer from 1 to 1073741824",
             "/limits/max_boddy: expected no such key here",
             "/extra: expected no such key here"});
--- a/packages/standins/src/process.cpp
+++ b/packages/standins/src/process.cpp
@@ -124,19 +124,40 @@
   return exitCode(status);
 }
 
-unsigned freePort() {
+namespace {
+
+bool canBind(unsigned port) {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  if (bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0) {
-    close(fd);
-    return 0;
-  }
-  socklen_t size = sizeof(address);
-  getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size);
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  const bool bound =
+      bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
   close(fd);
-  return ntohs(address.sin_port);
+  return bound;
+}
+
+} // namespace
+
+unsigned freePort() {
+  // Below the range from which the system takes ports of outgoing connections;
+  // a range of its own for each process.
+  constexpr unsigned lowest = 20'000;
+  constexpr unsigned perProcess = 120;
+  constexpr unsigned ranges = 100;
+  static unsigned next = 0;
+  const unsigned base =
+      lowest + static_cast<unsigned>(getpid()) % ranges * perProcess;
+  for (unsigned i = 0; i < perProcess; ++i) {
+    const unsigned port = base + next++ % perProcess;
+    if (canBind(port)) {
+      return port;
+    }
+  }
+  return 0;
 }
 
 } // namespace nutmegsill::standin
--- a/packages/standins/src/process.h
+++ b/packages/standins/src/process.h
@@ -36,7 +36,8 @@
 int runProgram(const std::string &program,
                const std::vector<std::string> &arguments, std::string &output);
 
-/// A TCP port of the loopback address that was free a moment ago.
+/// A TCP port of the loopback address that was free a moment ago and that no
+/// outgoing connection takes.
 unsigned freePort();
 
 } // namespace nutmegsill::standin
