--- a/packages/standins/src/bench.cpp
+++ b/packages/standins/src/bench.cpp
@@ -112,7 +112,9 @@
   }
   std::cout << TargetStreams << " streams through one router: " << whole
             << " whole, resident KB " << before << " before, " << during
-            << " during, " << (during - before) / double(TargetStreams)
+            << " during, "
+            << static_cast<double>(during - before) /
+                   static_cast<double>(TargetStreams)
             << " a stream\n";
 }
 
