Reports go through rows of routers, sums are kept per report

Cause: at 74 routers every load report made each router sum all reports of all peers again (about 100 messages a second times 74 peers times their targets), and each router sent 73 messages every 700 ms, so decisions rested on reports of 0.7 s. Ruled out: the store and the directory (calls there were answered in time). Change: `report_paths` arranges routers in rows; a router tells its row about itself and some routers of other rows about its row. `PeerLoads` adds and subtracts one report at a time. `CachedParts` leaves out uses that the others know of. The dispatcher loses both jobs.

--- a/packages/gateway/src/control.cpp
+++ b/packages/gateway/src/control.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <set>
+
 namespace nutmegsill::gateway {
 
 namespace asio = boost::asio;
@@ -278,10 +280,15 @@
     return;
   }
   View = fresh;
+  const ReportPaths paths = reportPaths(View->Routers, Own.Host);
+  std::set<HostId> receivers(paths.Row.begin(), paths.Row.end());
+  receivers.insert(paths.Others.begin(), paths.Others.end());
   std::vector<PeerAddress> peers;
-  peers.reserve(View->Routers.size());
+  peers.reserve(receivers.size());
   for (const RouterEntry &it : View->Routers) {
-    peers.push_back({it.Host, it.PeerAddress});
+    if (receivers.count(it.Host) > 0) {
+      peers.push_back({it.Host, it.PeerAddress});
+    }
   }
   Peers->setPeers(peers);
   Shared.setView(std::move(fresh));
@@ -388,9 +395,8 @@
     co_return;
   }
   LoadReport report;
-  report.Prompts.push_back({target, std::move(*parts), 0});
-  OnPeer(Own.Host, report);
-  tellPeers(std::move(report));
+  report.Sent.push_back({target, 0, std::move(*parts)});
+  OnPeer(Own.Host, std::move(report));
 }
 
 asio::awaitable<void> Control::endRegistration() {
@@ -416,15 +422,16 @@
   spawn(Io, endRegistration());
 }
 
-void Control::tellPeers(LoadReport report) {
-  asio::post(Io, [this, report = std::move(report)] {
-    if (!View) {
-      return;
+void Control::tellPeers(OutgoingReports reports) {
+  asio::post(Io, [this, reports = std::move(reports)] {
+    const std::string own = encodeLoad(reports.Own);
+    for (const HostId &it : reports.Paths.Row) {
+      Peers->send(it, LoadReportType, own);
     }
-    const std::string bytes = encodeLoad(report);
-    for (const RouterEntry &it : View->Routers) {
-      if (it.Host != Own.Host) {
-        Peers->send(it.Host, LoadReportType, bytes);
+    if (!reports.Paths.Others.empty()) {
+      const std::string row = encodeLoad(reports.Row);
+      for (const HostId &it : reports.Paths.Others) {
+        Peers->send(it, LoadReportType, row);
       }
     }
     // Messages that arrived while the socket's event was being handled raise
@@ -440,7 +447,11 @@
     return;
   }
   Counters.peerMessage(LoadReportType, "received", bytes.size());
-  Heard[from.Host] = bootNow();
+  const Time now = bootNow();
+  Heard[from.Host] = now;
+  for (const HostId &it : report->Hosts) {
+    Heard[it] = now;
+  }
   if (OnPeer) {
     OnPeer(from.Host, std::move(*report));
   }
--- a/packages/gateway/src/control.h
+++ b/packages/gateway/src/control.h
@@ -41,8 +41,8 @@
   /// Takes this router out of the directory. Control thread only.
   void leave();
   void hearPeers(HearPeer hear) { OnPeer = std::move(hear); }
-  /// Sends this router's load to the others; callable from any thread.
-  void tellPeers(routing::LoadReport report);
+  /// Sends load reports to other routers; callable from any thread.
+  void tellPeers(routing::OutgoingReports reports);
 
   boost::asio::io_context &context() { return Io; }
 
@@ -83,7 +83,7 @@
   routing::StoreRevision OwnEntry;
   std::unique_ptr<PeerSocket> Peers;
   HearPeer OnPeer;
-  /// When each router was last heard on the peer socket.
+  /// When each router was last heard, itself or through a router of its row.
   std::map<HostId, Time> Heard;
   std::shared_ptr<const routing::FleetView> View;
   std::optional<boost::asio::ip::tcp::acceptor> DirectoryPort;
--- a/packages/gateway/src/front.cpp
+++ b/packages/gateway/src/front.cpp
@@ -107,10 +107,10 @@
 asio::awaitable<void> Front::report() {
   asio::steady_timer timer(Io);
   bool quiet = false;
+  std::size_t receivers = 0;
   for (;;) {
-    const std::size_t routers = Parts.View ? Parts.View->Routers.size() : 1;
     const Duration scaled = Duration(ReportInterval) *
-                            static_cast<std::int64_t>(routers) /
+                            static_cast<std::int64_t>(receivers) /
                             static_cast<std::int64_t>(ReportMessages);
     timer.expires_after(
         std::clamp<Duration>(scaled, ReportInterval, LongestReportInterval));
@@ -120,8 +120,9 @@
     if (!Parts.refresh(now)) {
       continue;
     }
-    routing::LoadReport load = Parts.Decisions.report(now);
-    const bool empty = load.Targets.empty() && load.Teams.empty();
+    routing::OutgoingReports load = Parts.Decisions.reports(now);
+    receivers = load.Paths.size();
+    const bool empty = load.Row.Targets.empty() && load.Row.Teams.empty();
     if (!empty || !quiet) {
       Peers.tellPeers(std::move(load));
     }
--- a/packages/gateway/src/load_codec.cpp
+++ b/packages/gateway/src/load_codec.cpp
@@ -20,13 +20,14 @@
     row->set_asked(static_cast<float>(it.Rate.Asked));
     row->set_served(static_cast<float>(it.Rate.Served));
   }
-  for (const routing::SentPrompt &it : report.Prompts) {
-    wire::SentPrompt *row = out.add_prompts();
+  for (const routing::SentPrompts &it : report.Sent) {
+    wire::SentPrompts *row = out.add_sent();
     row->set_target(it.Target.Text);
-    row->set_prefill_tokens(it.PrefillTokens);
-    for (const std::uint64_t part : it.Parts) {
-      row->add_parts(part);
-    }
+    row->set_tokens(it.Tokens);
+    row->mutable_parts()->Add(it.Parts.begin(), it.Parts.end());
+  }
+  for (const HostId &it : report.Hosts) {
+    out.add_hosts(it.Text);
   }
   return out.SerializeAsString();
 }
@@ -50,10 +51,13 @@
     }
     report.Teams.push_back({TeamId{it.team()}, rate});
   }
-  for (const wire::SentPrompt &it : in.prompts()) {
-    report.Prompts.push_back({TargetId{it.target()},
-                              {it.parts().begin(), it.parts().end()},
-                              it.prefill_tokens()});
+  for (const wire::SentPrompts &it : in.sent()) {
+    report.Sent.push_back({TargetId{it.target()},
+                           it.tokens(),
+                           {it.parts().begin(), it.parts().end()}});
+  }
+  for (const std::string &it : in.hosts()) {
+    report.Hosts.push_back(HostId{it});
   }
   return report;
 }
--- a/packages/gateway/src/load_codec.h
+++ b/packages/gateway/src/load_codec.h
@@ -1,7 +1,7 @@
 /// Encodes load reports as protobuf.
 #pragma once
 
-#include "nutmegsill/routing/dispatcher.h"
+#include "nutmegsill/routing/load_report.h"
 
 #include <optional>
 #include <string>
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -1,39 +1,21 @@
 /// Chooses targets for requests. No I/O and no clock: time is an argument.
 #pragma once
 
+#include "nutmegsill/routing/cached_parts.h"
+#include "nutmegsill/routing/load_report.h"
 #include "nutmegsill/routing/model.h"
+#include "nutmegsill/routing/peer_loads.h"
+#include "nutmegsill/routing/prompt.h"
+#include "nutmegsill/routing/report_paths.h"
 #include "nutmegsill/routing/retry_budget.h"
 #include "nutmegsill/routing/team_share.h"
 
-#include <deque>
+#include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace nutmegsill::routing {
 
-/// A part of a prompt that requests may share; known by a hash.
-struct PromptPart {
-  std::uint64_t Hash = 0;
-  std::uint32_t Tokens = 0;
-};
-
-/// What a model request asks for. The last part is its own.
-struct Prompt {
-  std::vector<PromptPart> Parts;
-  std::uint32_t InputTokens = 0;
-  std::uint32_t MaxOutputTokens = 0;
-  /// The caller's estimate, which is often far off; 0 without one.
-  std::uint32_t ExpectedOutputTokens = 0;
-
-  /// Tokens in the unit of `ServiceConfig::RatedTokensPerSecond`.
-  double ratedTokens() const {
-    const std::uint32_t output =
-        ExpectedOutputTokens > 0 ? ExpectedOutputTokens : MaxOutputTokens;
-    return static_cast<double>(InputTokens) + 2.0 * output;
-  }
-};
-
 /// What decides where a request goes.
 struct RequestFacts {
   const RouteRule *Route = nullptr;
@@ -147,33 +129,13 @@
   std::uint32_t ColdSenders = 3;
 };
 
-/// Load that one router puts on one target.
-struct TargetLoad {
-  TargetId Target;
-  std::uint64_t PrefillTokens = 0;
-  std::uint32_t Running = 0;
-};
-
-/// What one team asks of one router and gets.
-struct TeamTraffic {
-  TeamId Team;
-  TeamRate Rate;
-};
-
-/// A prompt that was sent to a target.
-struct SentPrompt {
-  TargetId Target;
-  /// Hashes of the parts that other requests may share.
-  std::vector<std::uint64_t> Parts;
-  std::uint32_t PrefillTokens = 0;
-};
-
-/// What one router tells the others about its traffic.
-struct LoadReport {
-  std::vector<TargetLoad> Targets;
-  std::vector<TeamTraffic> Teams;
-  /// Prompts since the last report.
-  std::vector<SentPrompt> Prompts;
+/// What a router tells the others, and whom.
+struct OutgoingReports {
+  /// Its own traffic, for its row.
+  LoadReport Own;
+  /// The traffic of its row, for routers of other rows.
+  LoadReport Row;
+  ReportPaths Paths;
 };
 
 /// The choices of one router. Not thread-safe.
@@ -191,7 +153,7 @@
   void began(Assignment &assignment, Time now);
   void ended(Assignment &assignment, ExchangeResult result, Time now);
 
-  LoadReport report(Time now);
+  OutgoingReports reports(Time now);
   /// Connections that this router may hold to one target of the pool.
   std::uint32_t connectionShare(const PoolId &pool) const;
 
@@ -200,26 +162,24 @@
     KnownTarget Known;
     std::uint64_t PrefillTokens = 0;
     std::uint32_t Running = 0;
-    std::uint64_t PeerPrefill = 0;
-    std::uint32_t PeerRunning = 0;
     /// Part of recent exchanges that failed.
     double FailureRate = 0;
     Time AvoidUntil{};
     Duration AvoidFor{0};
     Time LastProgress{};
-    /// Prompt tokens that all routers sent it to read.
-    std::uint64_t ReadTokens = 0;
-    /// The same, decayed with `RecentSeconds`.
-    double RecentTokens = 0;
-    Time RecentAt{};
     /// Cold-start permits of this router.
     double ColdPermits = 1;
     Time ColdPermitsAt{};
     bool ColdSender = false;
   };
-  struct PeerReport {
-    LoadReport Load;
-    Time At{};
+  /// An engine that could take a request.
+  struct EngineOption {
+    TargetState *Target = nullptr;
+    std::uint32_t CachedTokens = 0;
+    /// Expected time to the first event.
+    Duration Expected{0};
+    /// Prompts sent lately over the mean of the pool, less one; at most 1.
+    double Spread = 0;
   };
 
   bool usable(TargetState &state, const RequestFacts &request, Time now);
@@ -229,23 +189,14 @@
   Assignment assign(TargetState &state, const RequestFacts &request, Time now);
   /// Part of the objective that a request of the team may be expected to take.
   double waitPart(double usedShare) const;
-  double lossAt(const TargetState &state, const RequestFacts &request,
-                const TargetId *home, std::uint32_t cached,
-                std::uint32_t cachedAnywhere, Duration expected,
+  std::vector<EngineOption> engineOptions(const RequestFacts &request,
+                                          const EngineLimits &limits, Time now);
+  double lossAt(const EngineOption &option, const RequestFacts &request,
+                const TargetId *home, std::uint32_t cachedAnywhere,
                 double busy) const;
-  static void decayRecent(TargetState &state, Time now);
-  /// Recently sent prompts over the mean of the pool, less one.
-  static double spreadOf(const TargetState &state,
-                         const std::vector<TargetState *> &open);
   /// How busy the pool's engines are, from 0 to 1.
   double busyPart(const PoolId &pool) const;
-  std::uint32_t cachedTokens(const Prompt &content, const TargetState &state,
-                             double cacheTokens) const;
   const TargetId *homeOf(const Prompt &content, const PoolId &pool) const;
-  void remember(const std::vector<std::uint64_t> &parts, TargetState &state,
-                std::uint32_t prefill, Time now);
-  void forget(Time now);
-  void sumPeers(Time now);
   void countEngines();
   /// Tokens a second that one engine reads.
   double prefillRate() const;
@@ -257,21 +208,19 @@
   TeamShares Shares;
   std::shared_ptr<const FleetView> View;
   std::map<TargetId, TargetState> Targets;
-  std::map<HostId, PeerReport> Peers;
-  /// The last use of a part at a target.
-  struct PartUse {
-    Time At{};
-    /// `ReadTokens` of the target at that time.
-    std::uint64_t ReadBefore = 0;
-  };
-  std::unordered_map<std::uint64_t, std::map<TargetId, PartUse>> PartUses;
-  /// Prompts for the next report.
-  std::vector<SentPrompt> Unreported;
-  Time NextForget{};
+  PeerLoads Peers;
+  /// `PeerLoads::version` that `Shares` was told.
+  std::uint64_t SharesVersion = 0;
+  CachedParts Caches;
+  ReportPaths Paths;
+  /// The hosts of `Paths.Row`.
+  std::set<HostId> Row;
+  /// Prompts of this router, and of its row, that are not reported yet.
+  SentLog SentHere;
+  SentLog SentByRow;
   std::uint64_t Turn = 0;
   /// Most engines of any view.
   std::size_t MostEngines = 0;
-  std::int64_t OldestReportMs = 0;
 };
 
 } // namespace nutmegsill::routing
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -24,13 +24,9 @@
 /// Prefill rate of an engine, in tokens a second, of a pool without a rated
 /// throughput: that of a large model on two accelerators.
 constexpr double UnratedPrefillRate = 30'000;
-/// Time constant of recently sent prompts.
-constexpr double RecentSeconds = 4.0;
 /// Bounds of the pause that a refused caller is told to make.
 constexpr Duration ShortestRetryAfter = milliseconds(300);
 constexpr Duration LongestRetryAfter = milliseconds(1'500);
-/// How often forgotten parts are dropped.
-constexpr Duration ForgetInterval = std::chrono::seconds(5);
 /// Failure rate, as running requests, in the choice of a plain service.
 constexpr double FailureAsLoad = 12;
 /// A target in another zone, as running requests: a hop costs a few
@@ -67,7 +63,8 @@
 
 Dispatcher::Dispatcher(HostId self, DispatchPolicy policy,
                        RetryBudgetPolicy budget)
-    : Self(std::move(self)), Policy(policy), Budget(budget) {}
+    : Self(std::move(self)), Policy(policy), Budget(budget),
+      Peers(policy.ReportLife), Caches(policy.CacheMemory) {}
 
 void Dispatcher::adopt(std::shared_ptr<const FleetView> view, Time now) {
   View = std::move(view);
@@ -80,6 +77,7 @@
     TargetState state = same ? std::move(old->second) : TargetState();
     if (!same) {
       state.LastProgress = now;
+      Caches.drop(it.Entry.Target);
     }
     state.Known = it;
     fresh.emplace(it.Entry.Target, std::move(state));
@@ -87,7 +85,8 @@
   Targets = std::move(fresh);
   countEngines();
   markColdSenders();
-  sumPeers(now);
+  Paths = reportPaths(View->Routers, Self);
+  Row = {Paths.Row.begin(), Paths.Row.end()};
 }
 
 void Dispatcher::countEngines() {
@@ -110,6 +109,9 @@
 
 void Dispatcher::markColdSenders() {
   for (auto &[id, state] : Targets) {
+    if (state.Known.ColdUntil == Time{}) {
+      continue;
+    }
     const std::uint64_t own = rendezvousWeight(Self, id.Text);
     std::uint32_t ahead = 0;
     for (const RouterEntry &it : View->Routers) {
@@ -122,50 +124,20 @@
 }
 
 void Dispatcher::hear(const HostId &peer, LoadReport report, Time now) {
-  for (const SentPrompt &it : report.Prompts) {
-    const auto target = Targets.find(it.Target);
-    if (target != Targets.end()) {
-      remember(it.Parts, target->second, it.PrefillTokens, now);
-    }
-  }
-  if (peer == Self) {
-    // What this router learned itself; its load is known.
-    return;
-  }
-  report.Prompts.clear();
-  Peers[peer] = PeerReport{std::move(report), now};
-  sumPeers(now);
-}
-
-void Dispatcher::sumPeers(Time now) {
-  for (auto &[id, state] : Targets) {
-    state.PeerPrefill = 0;
-    state.PeerRunning = 0;
-  }
-  std::map<TeamId, TeamRate> teams;
-  OldestReportMs = 0;
-  for (auto it = Peers.begin(); it != Peers.end();) {
-    if (now - it->second.At > Policy.ReportLife) {
-      it = Peers.erase(it);
-      continue;
+  const bool own = peer == Self;
+  const bool relayed = own || Row.count(peer) > 0;
+  for (const SentPrompts &it : report.Sent) {
+    Caches.sent(it, now);
+    if (own) {
+      SentHere.add(it);
     }
-    OldestReportMs = std::max<std::int64_t>(
-        OldestReportMs,
-        std::chrono::duration_cast<milliseconds>(now - it->second.At).count());
-    for (const TargetLoad &load : it->second.Load.Targets) {
-      const auto target = Targets.find(load.Target);
-      if (target != Targets.end()) {
-        target->second.PeerPrefill += load.PrefillTokens;
-        target->second.PeerRunning += load.Running;
-      }
+    if (relayed) {
+      SentByRow.add(it);
     }
-    for (const TeamTraffic &team : it->second.Load.Teams) {
-      teams[team.Team].Asked += team.Rate.Asked;
-      teams[team.Team].Served += team.Rate.Served;
-    }
-    ++it;
   }
-  Shares.setPeerRates(std::move(teams));
+  if (peer != Self) {
+    Peers.hear(peer, std::move(report), now);
+  }
 }
 
 void Dispatcher::arrived(const RequestFacts &request, Time now) {
@@ -245,51 +217,6 @@
   return best;
 }
 
-std::uint32_t Dispatcher::cachedTokens(const Prompt &content,
-                                       const TargetState &state,
-                                       double cacheTokens) const {
-  std::uint32_t cached = 0;
-  for (const PromptPart &part : content.Parts) {
-    const auto uses = PartUses.find(part.Hash);
-    if (uses == PartUses.end()) {
-      break;
-    }
-    const auto use = uses->second.find(state.Known.Entry.Target);
-    const bool kept = use != uses->second.end() &&
-                      static_cast<double>(state.ReadTokens -
-                                          use->second.ReadBefore) < cacheTokens;
-    if (!kept) {
-      break;
-    }
-    cached += part.Tokens;
-  }
-  return std::min(cached, content.InputTokens);
-}
-
-void Dispatcher::remember(const std::vector<std::uint64_t> &parts,
-                          TargetState &state, std::uint32_t prefill, Time now) {
-  state.ReadTokens += prefill;
-  decayRecent(state, now);
-  state.RecentTokens += prefill;
-  for (const std::uint64_t part : parts) {
-    PartUses[part][state.Known.Entry.Target] = PartUse{now, state.ReadTokens};
-  }
-}
-
-void Dispatcher::forget(Time now) {
-  if (now < NextForget) {
-    return;
-  }
-  NextForget = now + ForgetInterval;
-  for (auto it = PartUses.begin(); it != PartUses.end();) {
-    std::erase_if(it->second, [this, now](const auto &use) {
-      return now - use.second.At > Policy.CacheMemory ||
-             Targets.count(use.first) == 0;
-    });
-    it = it->second.empty() ? PartUses.erase(it) : std::next(it);
-  }
-}
-
 Assignment Dispatcher::assign(TargetState &state, const RequestFacts &request,
                               Time now) {
   if (state.Known.ColdUntil > now) {
@@ -304,7 +231,8 @@
   out.Address = state.Known.Entry.Address;
   out.Pool = request.Pool;
   out.SentAt = now;
-  out.ReportAgeMs = OldestReportMs;
+  out.ReportAgeMs =
+      std::chrono::duration_cast<milliseconds>(Peers.oldest(now)).count();
   return out;
 }
 
@@ -321,28 +249,13 @@
   return choice;
 }
 
-void Dispatcher::decayRecent(TargetState &state, Time now) {
-  state.RecentTokens *=
-      std::exp(-seconds(now - state.RecentAt) / RecentSeconds);
-  state.RecentAt = now;
-}
-
-double Dispatcher::spreadOf(const TargetState &state,
-                            const std::vector<TargetState *> &open) {
-  double sum = 0;
-  for (const TargetState *it : open) {
-    sum += it->RecentTokens;
-  }
-  const double mean = sum / static_cast<double>(open.size());
-  return mean < 1 ? 0 : std::min(1.0, state.RecentTokens / mean - 1);
-}
-
 double Dispatcher::busyPart(const PoolId &pool) const {
   double tokens = 0;
   double engines = 0;
   for (const auto &[id, state] : Targets) {
     if (state.Known.Entry.Pool == pool && !state.Known.Entry.Draining) {
-      tokens += static_cast<double>(state.PrefillTokens + state.PeerPrefill);
+      tokens +=
+          static_cast<double>(state.PrefillTokens + Peers.at(id).PrefillTokens);
       engines += 1;
     }
   }
@@ -350,101 +263,117 @@
   return std::clamp(wait / seconds(Policy.BusyWait), 0.0, 1.0);
 }
 
-double Dispatcher::lossAt(const TargetState &state, const RequestFacts &request,
-                          const TargetId *home, std::uint32_t cached,
-                          std::uint32_t cachedAnywhere, Duration expected,
-                          double busy) const {
+double Dispatcher::lossAt(const EngineOption &option,
+                          const RequestFacts &request, const TargetId *home,
+                          std::uint32_t cachedAnywhere, double busy) const {
+  const TargetState &state = *option.Target;
   const double objective = std::max(1e-3, seconds(request.Route->Objective));
-  const double part = seconds(expected) / objective;
+  const double part = seconds(request.Waited + option.Expected) / objective;
   const double late = std::clamp(
       (part - Policy.LateFrom) / (Policy.LateAt - Policy.LateFrom), 0.0, 1.0);
   const double reread =
-      static_cast<double>(cachedAnywhere - cached) /
+      static_cast<double>(cachedAnywhere - option.CachedTokens) /
       std::max(1.0, static_cast<double>(request.Content.InputTokens));
   const bool isHome = home != nullptr && *home == state.Known.Entry.Target;
   const double rereadLoss =
       Policy.RereadLoss + busy * (Policy.RereadLossBusy - Policy.RereadLoss);
   return late * Policy.LateLoss + reread * rereadLoss + part * Policy.WaitLoss +
-         state.FailureRate - (isHome ? Policy.HomeGain : 0.0);
+         option.Spread * Policy.SpreadLoss + state.FailureRate -
+         (isHome ? Policy.HomeGain : 0.0);
 }
 
-Choice Dispatcher::chooseEngine(const RequestFacts &request, Time now) {
+std::vector<Dispatcher::EngineOption>
+Dispatcher::engineOptions(const RequestFacts &request,
+                          const EngineLimits &limits, Time now) {
   const std::vector<TargetState *> open = candidates(request, now);
-  if (open.empty()) {
-    return Rejection{TurnedAway::NoTarget, milliseconds(500), {}, 0};
+  const std::map<TargetId, std::uint32_t> cached = Caches.cached(
+      request.Content,
+      Policy.CacheShare * static_cast<double>(limits.CacheTokens));
+  const double rate = prefillRate();
+  std::vector<EngineOption> out;
+  out.reserve(open.size());
+  double recentSum = 0;
+  for (TargetState *it : open) {
+    const TargetId &target = it->Known.Entry.Target;
+    const auto known = cached.find(target);
+    EngineOption option;
+    option.Target = it;
+    option.CachedTokens = known == cached.end() ? 0 : known->second;
+    const PeerLoads::Sum peers = Peers.at(target);
+    const double work =
+        static_cast<double>(it->PrefillTokens + peers.PrefillTokens) +
+        static_cast<double>(request.Content.InputTokens - option.CachedTokens);
+    const bool full = it->Running + peers.Running >= limits.Slots;
+    option.Expected = fromSeconds(work / rate) + Policy.FirstEventBase +
+                      (full ? FullPenalty : Duration{0});
+    option.Spread = Caches.recentTokens(target, now);
+    recentSum += option.Spread;
+    out.push_back(option);
+  }
+  const double mean =
+      recentSum / static_cast<double>(std::max<std::size_t>(1, out.size()));
+  for (EngineOption &it : out) {
+    it.Spread = mean < 1 ? 0 : std::min(1.0, it.Spread / mean - 1);
   }
+  return out;
+}
+
+Choice Dispatcher::chooseEngine(const RequestFacts &request, Time now) {
   const PoolRule *pool = View->Config->pool(request.Pool);
+  const std::vector<EngineOption> options =
+      engineOptions(request, *pool->Engine, now);
+  if (options.empty()) {
+    return Rejection{TurnedAway::NoTarget, milliseconds(500), {}, 0};
+  }
+  std::uint32_t cachedAnywhere = 0;
+  for (const EngineOption &it : options) {
+    cachedAnywhere = std::max(cachedAnywhere, it.CachedTokens);
+  }
   const TargetId *home = homeOf(request.Content, request.Pool);
-  const double rate = prefillRate();
-  const double cacheTokens =
-      Policy.CacheShare * static_cast<double>(pool->Engine->CacheTokens);
-  std::vector<std::uint32_t> cached;
-  cached.reserve(open.size());
-  for (const TargetState *it : open) {
-    cached.push_back(cachedTokens(request.Content, *it, cacheTokens));
-  }
-  const std::uint32_t cachedAnywhere =
-      *std::max_element(cached.begin(), cached.end());
   const double busy = busyPart(request.Pool);
-  for (TargetState *it : open) {
-    decayRecent(*it, now);
-  }
-  TargetState *best = nullptr;
+  const EngineOption *best = nullptr;
   double bestLoss = 0;
-  Duration bestExpected{0};
-  std::uint32_t bestCached = 0;
-  for (std::size_t i = 0; i < open.size(); ++i) {
-    TargetState *it = open[i];
-    const double work =
-        static_cast<double>(it->PrefillTokens + it->PeerPrefill) +
-        static_cast<double>(request.Content.InputTokens - cached[i]);
-    const bool full = it->Running + it->PeerRunning >= pool->Engine->Slots;
-    const Duration expected = fromSeconds(work / rate) + Policy.FirstEventBase +
-                              (full ? FullPenalty : Duration{0});
-    const double loss = lossAt(*it, request, home, cached[i], cachedAnywhere,
-                               request.Waited + expected, busy) +
-                        spreadOf(*it, open) * Policy.SpreadLoss;
+  for (const EngineOption &it : options) {
+    const double loss = lossAt(it, request, home, cachedAnywhere, busy);
     if (best == nullptr || loss < bestLoss) {
-      best = it;
+      best = &it;
       bestLoss = loss;
-      bestCached = cached[i];
-      bestExpected = expected;
     }
   }
+  if (SharesVersion != Peers.version()) {
+    SharesVersion = Peers.version();
+    Shares.setPeerRates(Peers.teams());
+  }
   const double usedShare =
       Shares.usedShare(request.Team, View->Config->RatedTokensPerSecond, now);
   const double objective =
       seconds(request.Route->Objective) * waitPart(usedShare);
-  const double own =
-      static_cast<double>(request.Content.InputTokens - bestCached) / rate;
+  const std::uint32_t prefill =
+      request.Content.InputTokens - best->CachedTokens;
+  const double own = static_cast<double>(prefill) / prefillRate();
   // A prompt that takes most of its objective by itself is late at best; it is
   // still served where others would not wait long.
   const Duration limit =
       fromSeconds(std::max(objective, own + objective * Policy.LargeWait));
-  if (request.Waited + bestExpected > limit) {
+  if (request.Waited + best->Expected > limit) {
     const Duration wait =
-        std::clamp(request.Waited + bestExpected - limit + ShortestRetryAfter,
+        std::clamp(request.Waited + best->Expected - limit + ShortestRetryAfter,
                    ShortestRetryAfter, LongestRetryAfter);
     return Rejection{usedShare < Policy.ShareFrom ? TurnedAway::Overloaded
                                                   : TurnedAway::TeamOverShare,
-                     wait, bestExpected, usedShare};
+                     wait, best->Expected, usedShare};
   }
-  Assignment out = assign(*best, request, now);
-  out.CachedTokens = bestCached;
-  out.PrefillTokens = request.Content.InputTokens - bestCached;
-  out.Expected = bestExpected;
+  Assignment out = assign(*best->Target, request, now);
+  out.CachedTokens = best->CachedTokens;
+  out.PrefillTokens = prefill;
+  out.Expected = best->Expected;
   out.UsedShare = usedShare;
   Shares.served(request.Team, request.Content.ratedTokens(), now);
-  best->PrefillTokens += out.PrefillTokens;
-  SentPrompt sent{out.Target, {}, out.PrefillTokens};
-  for (const PromptPart &it : request.Content.Parts) {
-    sent.Parts.push_back(it.Hash);
-  }
-  remember(sent.Parts, *best, out.PrefillTokens, now);
-  if (!sent.Parts.empty()) {
-    sent.Parts.pop_back();
-  }
-  Unreported.push_back(std::move(sent));
+  best->Target->PrefillTokens += prefill;
+  const SentPrompts news =
+      Caches.sentHere(out.Target, request.Content, prefill, now);
+  SentHere.add(news);
+  SentByRow.add(news);
   return out;
 }
 
@@ -465,8 +394,10 @@
   for (std::size_t i = 0; i < open.size(); ++i) {
     // Starting at a rotating place spreads requests among equals.
     TargetState *it = open[(i + Turn) % open.size()];
-    const double load = static_cast<double>(it->Running + it->PeerRunning) *
-                        6.0 / std::max(1U, it->Known.Entry.Slots);
+    const std::uint32_t running =
+        it->Running + Peers.at(it->Known.Entry.Target).Running;
+    const double load = static_cast<double>(running) * 6.0 /
+                        std::max(1U, it->Known.Entry.Slots);
     const double score =
         load + FailureAsLoad * it->FailureRate +
         (it->Known.Entry.Zone == ownZone ? 0.0 : OtherZoneAsLoad);
@@ -522,20 +453,24 @@
   }
 }
 
-LoadReport Dispatcher::report(Time now) {
-  forget(now);
-  LoadReport out;
-  out.Prompts.swap(Unreported);
+OutgoingReports Dispatcher::reports(Time now) {
+  Caches.expire(now);
+  Peers.expire(now);
+  OutgoingReports out;
+  out.Paths = Paths;
   for (const auto &[id, state] : Targets) {
     if (state.PrefillTokens > 0 || state.Running > 0) {
-      out.Targets.push_back({id, state.PrefillTokens, state.Running});
+      out.Own.Targets.push_back({id, state.PrefillTokens, state.Running});
     }
   }
   for (const auto &[team, rate] : Shares.ownRates(now)) {
     if (rate.Asked >= 1 || rate.Served >= 1) {
-      out.Teams.push_back({team, rate});
+      out.Own.Teams.push_back({team, rate});
     }
   }
+  out.Row = Peers.sumWith(out.Own, Paths.Row);
+  out.Own.Sent = SentHere.take();
+  out.Row.Sent = SentByRow.take();
   return out;
 }
 
--- a/packages/routing/test/dispatcher_test.cpp
+++ b/packages/routing/test/dispatcher_test.cpp
@@ -69,7 +69,7 @@
 TEST_CASE_METHOD(DispatcherFixture,
                  "dispatcher_part_that_a_peer_sent_is_known_as_cached") {
   LoadReport report;
-  report.Prompts = {{TargetId{"e-2"}, {77}, 6'500}};
+  report.Sent = {{TargetId{"e-2"}, 6'500, {77}}};
   Choices.hear(HostId{"host-2"}, report, at(0));
   const std::optional<Assignment> sent = send(captions(77, 6'000, 500), at(50));
   REQUIRE(sent);
@@ -80,9 +80,10 @@
 TEST_CASE_METHOD(DispatcherFixture,
                  "dispatcher_part_pushed_out_of_memory_is_not_cached") {
   LoadReport report;
-  report.Prompts = {{TargetId{"e-2"}, {77}, 6'500},
-                    {TargetId{"e-2"}, {78}, 150'000}};
+  report.Sent = {{TargetId{"e-2"}, 6'500, {77}}};
   Choices.hear(HostId{"host-2"}, report, at(0));
+  report.Sent = {{TargetId{"e-2"}, 150'000, {78}}};
+  Choices.hear(HostId{"host-2"}, report, at(1));
   const std::optional<Assignment> sent = send(captions(77, 6'000, 500), at(50));
   REQUIRE(sent);
   CHECK(sent->CachedTokens == 0);
@@ -222,7 +223,7 @@
   adopt({"e-9"});
   Choices.began(*sent, at(10));
   Choices.ended(*sent, ExchangeResult::Broken, at(20));
-  CHECK(Choices.report(at(30)).Targets.empty());
+  CHECK(Choices.reports(at(30)).Own.Targets.empty());
 }
 
 } // namespace nutmegsill::routing
