Connections that callers leave open no longer use up the descriptors

Ruled out: the processor (0.06 of its 0.12 cores), targets (expected times of the dispatched ones held). Change: half of the process's descriptors (new setting `descriptors`) are for callers; idle connections are closed sooner as they are used up, and at the limit an answer closes its connection. Test first: gateway_connections_that_callers_leave_open_are_closed.

--- a/packages/gateway/src/front.h
+++ b/packages/gateway/src/front.h
@@ -1,6 +1,7 @@
 /// The traffic thread: callers' connections and the choice of targets.
 #pragma once
 
+#include "caller_connections.h"
 #include "control.h"
 #include "metrics.h"
 #include "nutmegsill/routing/dispatcher.h"
@@ -25,6 +26,7 @@
   Metrics &Counters;
   routing::Dispatcher Decisions;
   UpstreamPool Targets;
+  CallerConnections Callers;
   /// Requests that are being served.
   std::size_t Active = 0;
   /// Set when new requests are refused before the process ends.
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -116,7 +116,7 @@
   std::uint64_t TimerUse = 0;
   bool Watching = false;
   /// The coroutine has ended; late handlers must not touch it.
-  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  std::shared_ptr<bool> Alive = std::make_shared<bool>();
 };
 
 void Session::arm(Duration after, Cut reason) {
@@ -180,7 +180,9 @@
     return asio::redirect_error(asio::use_awaitable, ec);
   };
   bool begun = Buffer.size() > 0;
-  arm(begun ? limits.HeaderTimeout : limits.IdleTimeout, Cut::TimeLimit);
+  arm(begun ? Duration(limits.HeaderTimeout)
+            : Shared.Callers.idleTime(limits.IdleTimeout),
+      Cut::TimeLimit);
   while (!ec && !parser.is_header_done()) {
     co_await http::async_read_some(Caller, Buffer, parser, token());
     if (!ec && !begun && !parser.is_header_done()) {
@@ -220,6 +222,7 @@
 asio::awaitable<void> Session::run() {
   boost::system::error_code ec;
   Caller.set_option(tcp::no_delay(true), ec);
+  Shared.Callers.opened();
   for (;;) {
     Parser parser;
     const bool complete = co_await read(parser);
@@ -231,7 +234,8 @@
     Request request;
     request.ArrivedAt = bootNow();
     request.Message = parser.release();
-    Writer.reset(request.Message.keep_alive() && !Shared.Shared.leaving());
+    Writer.reset(request.Message.keep_alive() && !Shared.Shared.leaving() &&
+                 Shared.Callers.mayKeep());
     ++Shared.Active;
     co_await serve(request);
     --Shared.Active;
@@ -239,7 +243,7 @@
       break;
     }
   }
-  *Alive = false;
+  Shared.Callers.closed();
   Alive.reset();
   if (Writer.started() && !Writer.finished()) {
     // A reset shows the caller that the answer is incomplete.
--- a/packages/gateway/src/settings.cpp
+++ b/packages/gateway/src/settings.cpp
@@ -129,6 +129,8 @@
   out.Directory = gateway.endpoint("directory");
   out.PeerAddress = gateway.address("peer");
   out.MetricsAddress = gateway.address("metrics");
+  out.Descriptors = static_cast<std::size_t>(
+      gateway.number("descriptors", static_cast<double>(out.Descriptors)));
   MemberReader store(root, "store", true, faults);
   out.Store = store.endpoint("address");
   out.ShortestLease = std::chrono::duration_cast<milliseconds>(
--- a/packages/gateway/src/settings.h
+++ b/packages/gateway/src/settings.h
@@ -33,6 +33,8 @@
   Endpoint Store;
   /// Shortest life of a lease that the store grants.
   milliseconds ShortestLease{1'000};
+  /// File descriptors that the process may open.
+  std::size_t Descriptors = 1024;
   std::optional<CurveKeys> Curve;
   FleetBounds Bounds;
 };
--- a/packages/gateway/test/gateway_faults_test.cpp
+++ b/packages/gateway/test/gateway_faults_test.cpp
@@ -1,6 +1,7 @@
 #include "gateway_fixture.h"
 
 #include <csignal>
+#include <memory>
 #include <thread>
 
 namespace nutmegsill::standin {
@@ -158,6 +159,24 @@
   CHECK(Store->calls() - before <= 18);
 }
 
+TEST_CASE_METHOD(GatewayFaultsFixture,
+                 "gateway_connections_that_callers_leave_open_are_closed") {
+  Descriptors = 80;
+  startRouter();
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  int kept = 0;
+  for (int i = 0; i < 80; ++i) {
+    callers.push_back(std::make_unique<RawCaller>(Routers[0].Callers));
+    RawCall one;
+    one.Path = "/safe/a";
+    one.Id = "id-" + std::to_string(i);
+    const RawAnswer answer = callers.back()->call(one);
+    CHECK(answer.Status == 200);
+    kept += answer.field("Connection") == "close" ? 0 : 1;
+  }
+  CHECK(kept <= 40);
+}
+
 TEST_CASE_METHOD(GatewayFaultsFixture,
                  "gateway_lost_answer_to_its_registration_is_found_again") {
   Store->loseAnswers(2);
--- a/packages/gateway/test/gateway_fixture.h
+++ b/packages/gateway/test/gateway_fixture.h
@@ -87,6 +87,8 @@
   std::string Folder;
   /// Revocation bound of the routers, in milliseconds.
   int RevocationMs = 5000;
+  /// Descriptors of each router.
+  int Descriptors = 1024;
 };
 
 } // namespace nutmegsill::standin
