Admission and the course of a request are decided in packages/routing

Change: `admit` and `RequestCourse` hold them without I/O; the session keeps connections, timers and log lines. Nothing is decided otherwise, but for one case: a request that cannot be repeated is tried at four unreachable targets at most also on routes that may repeat (was unbounded). gateway_test (30 cases) and routing_test pass.

--- a/packages/core/include/nutmegsill/types.h
+++ b/packages/core/include/nutmegsill/types.h
@@ -72,6 +72,10 @@
 using Time = ProcessClock::time_point;
 using std::chrono::milliseconds;
 
+constexpr std::int64_t wholeMillis(Duration span) {
+  return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
 /// One process: a host and which of its lives.
 struct Instance {
   HostId Host;
--- a/packages/gateway/src/clock.h
+++ b/packages/gateway/src/clock.h
@@ -16,8 +16,4 @@
       std::chrono::seconds(ts.tv_sec) + std::chrono::nanoseconds(ts.tv_nsec)));
 }
 
-inline std::int64_t wholeMillis(Duration span) {
-  return std::chrono::duration_cast<milliseconds>(span).count();
-}
-
 } // namespace nutmegsill::gateway
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -3,6 +3,8 @@
 #include "exchange.h"
 #include "front.h"
 #include "log.h"
+#include "nutmegsill/routing/admission.h"
+#include "nutmegsill/routing/request_course.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -11,50 +13,26 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include <xxhash.h>
-
 namespace nutmegsill::gateway {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using asio::ip::tcp;
+using routing::Admission;
 using routing::Assignment;
 using routing::ExchangeResult;
-using routing::FleetView;
-using routing::Rejection;
+using routing::OwnAnswer;
 using routing::RouteRule;
 
 namespace {
 
-/// Part of the revocation bound for which a configuration counts as current.
-/// The rest covers the way of a request and a late watch.
-constexpr double CurrentShare = 0.7;
-/// Part of the time left in which a target must begin to answer a request that
-/// another target may take over.
-constexpr double FirstAttemptShare = 0.5;
-/// Shortest time for one attempt, as targets slow down under load.
-constexpr milliseconds ShortestAttempt{250};
 /// Longest time to connect to a target; the way there and back takes some
 /// milliseconds, and nothing is lost by asking another one.
 constexpr milliseconds ConnectLimit{300};
-/// Pause for callers of a router that does not know the fleet yet.
-constexpr milliseconds StartingRetryAfter{500};
-constexpr milliseconds StaleRetryAfter{300};
-/// Answers to connection failures name another target this often at most.
-constexpr std::size_t MaxUnsentTries = 4;
-
 /// Who ended a request before its answer was complete.
 enum class Cut { None, CallerLeft, TimeLimit, AttemptLimit };
 
-/// Reasons for answers of the router itself.
-struct OwnAnswer {
-  unsigned Status;
-  std::string Reason;
-  /// Set for refusals that did not run.
-  std::optional<Duration> RetryAfter;
-};
-
 class Session {
 public:
   Session(Traffic &traffic, tcp::socket caller)
@@ -70,28 +48,23 @@
   struct Request {
     platform::CallerHead Head;
     http::request<http::string_body> Message;
-    std::shared_ptr<const FleetView> View;
-    /// Holds what `Facts.Route` points to.
-    std::shared_ptr<const routing::ServiceConfig> Config;
-    routing::RequestFacts Facts;
     Time ArrivedAt{};
-    Time EndsAt{};
+    /// Set when it may be sent to a target.
+    std::optional<Admission> Admitted;
+    std::optional<routing::RequestCourse> Course;
     /// Time from the arrival to the first part of the answer.
     std::optional<Duration> FirstAfter;
-    std::uint32_t Sends = 0;
-    /// Some target got it and did not state that it had not run it.
-    bool MayHaveRun = false;
     std::optional<routing::EventStream> Events;
   };
 
   asio::awaitable<bool> read(Parser &parser);
   asio::awaitable<void> serve(Request &request);
-  asio::awaitable<void> route(Request &request);
   std::optional<OwnAnswer> locate(Request &request);
   asio::awaitable<void> dispatch(Request &request);
   asio::awaitable<ExchangeOutcome> attempt(Request &request,
                                            Assignment &assignment);
-  bool mayTryAgain(const Request &request, const ExchangeOutcome &outcome);
+  ExchangePlan plan(const Request &request, const Assignment &assignment);
+  void logDispatch(const Request &request, const Assignment &assignment);
   asio::awaitable<void> conclude(Request &request,
                                  const ExchangeOutcome &outcome);
   asio::awaitable<void> answer(Request &request, const OwnAnswer &own);
@@ -101,9 +74,6 @@
   void arm(Duration after, Cut cut);
   void watchCaller();
   void cut(Cut reason);
-  Duration left(const Request &request) const {
-    return request.EndsAt - bootNow();
-  }
 
   Traffic &Shared;
   tcp::socket Caller;
@@ -170,7 +140,7 @@
 
 /// Reads one request; answers malformed ones.
 asio::awaitable<bool> Session::read(Parser &parser) {
-  const std::shared_ptr<const FleetView> view = Shared.refresh(bootNow());
+  const std::shared_ptr<const routing::FleetView> view = Shared.refresh(bootNow());
   const routing::CallerLimits limits =
       view ? view->Config->Limits : routing::CallerLimits();
   parser.header_limit(limits.MaxHeaderBytes);
@@ -257,54 +227,25 @@
 /// Finds route, team and pool; returns the answer when there is none.
 std::optional<OwnAnswer> Session::locate(Request &request) {
   const Time now = request.ArrivedAt;
-  request.View = Shared.refresh(now);
-  if (!request.View) {
-    return OwnAnswer{503, "starting", StartingRetryAfter};
-  }
   if (Shared.Closing) {
     Writer.closeAfter();
     return OwnAnswer{503, "stopping", Duration{0}};
   }
-  request.Config = request.View->Config;
-  const routing::ServiceConfig &config = *request.Config;
-  const RouteRule *route =
-      config.routeFor(request.Head.HostName, request.Head.Path);
-  if (route == nullptr) {
-    return OwnAnswer{404, "no_route", std::nullopt};
-  }
-  request.Facts.Route = route;
-  const Duration wanted = request.Head.Deadline
-                              ? Duration(*request.Head.Deadline)
-                              : Duration(route->Timeout);
-  request.EndsAt = now + std::min(wanted, Duration(route->Timeout));
-  const bool keyed = !route->Public && !config.Teams.empty();
-  if (keyed) {
-    const Duration bound = std::chrono::duration_cast<Duration>(
-        Shared.Own.Bounds.Revocation * CurrentShare);
-    if (Shared.Shared.configAge(now) > bound) {
-      return OwnAnswer{503, "configuration_not_current", StaleRetryAfter};
-    }
-    const routing::TeamRule *team = config.teamOfKey(request.Head.Key);
-    if (team == nullptr) {
-      return OwnAnswer{401, "unknown_key", std::nullopt};
-    }
-    request.Facts.Team = team->Team;
-  }
-  std::uint64_t total = 0;
-  for (const routing::PoolWeight &it : route->Pools) {
-    total += it.Weight;
-  }
-  const std::uint64_t hash =
-      XXH64(request.Head.RequestId.data(), request.Head.RequestId.size(), 0);
-  std::uint64_t draw = total == 0 ? 0 : hash % total;
-  request.Facts.Pool = route->Pools.front().Pool;
-  for (const routing::PoolWeight &it : route->Pools) {
-    if (draw < it.Weight) {
-      request.Facts.Pool = it.Pool;
-      break;
-    }
-    draw -= it.Weight;
-  }
+  routing::IncomingRequest incoming;
+  incoming.HostName = request.Head.HostName;
+  incoming.Path = request.Head.Path;
+  incoming.Key = request.Head.Key;
+  incoming.RequestId = request.Head.RequestId;
+  incoming.Deadline = request.Head.Deadline;
+  routing::AdmissionPolicy policy;
+  policy.Revocation = Shared.Own.Bounds.Revocation;
+  std::variant<Admission, OwnAnswer> found = routing::admit(
+      incoming, Shared.refresh(now), Shared.Shared.configAge(now), policy);
+  if (const OwnAnswer *own = std::get_if<OwnAnswer>(&found)) {
+    return *own;
+  }
+  request.Admitted = std::get<Admission>(std::move(found));
+  request.Course.emplace(*request.Admitted, request.Head.Content, now);
   return std::nullopt;
 }
 
@@ -315,10 +256,8 @@
     co_await answer(request, *own);
     co_return;
   }
-  routing::RequestFacts &facts = request.Facts;
-  facts.Content = request.Head.Content;
-  Shared.Decisions.arrived(facts, request.ArrivedAt);
-  const RouteRule &route = *facts.Route;
+  Shared.Decisions.arrived(request.Course->facts(), request.ArrivedAt);
+  const RouteRule &route = *request.Admitted->Route;
   if (route.Kind == routing::Repeatability::Stream && route.Resumable) {
     request.Events.emplace();
   }
@@ -326,7 +265,7 @@
 }
 
 asio::awaitable<void> Session::dispatch(Request &request) {
-  std::size_t unsent = 0;
+  routing::RequestCourse &course = *request.Course;
   ExchangeOutcome outcome;
   for (;;) {
     // A router that was held up may find that the caller has left meanwhile.
@@ -335,39 +274,24 @@
       break;
     }
     const Time now = bootNow();
-    request.View = Shared.refresh(now);
-    request.Facts.Waited = now - request.ArrivedAt;
-    request.Facts.Left = request.EndsAt - now;
-    routing::Choice choice = Shared.Decisions.choose(request.Facts, now);
-    if (const Rejection *it = std::get_if<Rejection>(&choice)) {
-      const bool first = request.Sends == 0;
-      if (first) {
-        const OwnAnswer own{503,
-                            std::string(routing::turnedAwayName(it->Why)) +
-                                ", expected_ms " +
-                                std::to_string(wholeMillis(it->Expected)) +
-                                ", used_share " + std::to_string(it->UsedShare),
-                            it->RetryAfter};
-        co_await answer(request, own);
-        co_return;
-      }
-      outcome.Reason +=
-          std::string(", then ") + routing::turnedAwayName(it->Why);
+    Shared.refresh(now);
+    routing::Choice choice = course.next(Shared.Decisions, now);
+    Assignment *assignment = std::get_if<Assignment>(&choice);
+    if (assignment == nullptr) {
       break;
     }
-    Assignment assignment = std::get<Assignment>(choice);
-    outcome = co_await attempt(request, assignment);
-    Shared.Decisions.ended(assignment, outcome.Result, bootNow());
-    request.Facts.Tried.push_back(assignment.Target);
-    if (outcome.Sent) {
-      ++request.Sends;
-      request.MayHaveRun =
-          request.MayHaveRun || outcome.Result != ExchangeResult::Refused;
-      request.Facts.Repeat = true;
-    }
-    const bool open = CutBy == Cut::None || CutBy == Cut::AttemptLimit;
-    const bool neverSent = !outcome.Sent && ++unsent < MaxUnsentTries && open;
-    if (!neverSent && !mayTryAgain(request, outcome)) {
+    outcome = co_await attempt(request, *assignment);
+    routing::AttemptOutcome attempted;
+    attempted.Result = outcome.Result;
+    attempted.Sent = outcome.Sent;
+    attempted.Stopped = CutBy == Cut::CallerLeft || CutBy == Cut::TimeLimit ||
+                        outcome.CallerGone;
+    attempted.AnswerBegun = Writer.started();
+    attempted.MayContinue = request.Events && !request.Events->lastId().empty();
+    attempted.Reason = outcome.Reason;
+    const bool again =
+        course.ended(Shared.Decisions, *assignment, attempted, bootNow());
+    if (!again) {
       break;
     }
     if (request.Events) {
@@ -377,44 +301,17 @@
   co_await conclude(request, outcome);
 }
 
-bool Session::mayTryAgain(const Request &request,
-                          const ExchangeOutcome &outcome) {
-  const RouteRule &route = *request.Facts.Route;
-  const bool stopped =
-      CutBy == Cut::CallerLeft || CutBy == Cut::TimeLimit || outcome.CallerGone;
-  if (stopped || request.Sends >= route.Attempts ||
-      left(request) <= Duration{0}) {
-    return false;
-  }
-  if (outcome.Result == ExchangeResult::Refused) {
-    return true;
-  }
-  if (outcome.Result == ExchangeResult::Completed || !route.mayRepeat()) {
-    return false;
-  }
-  const bool continued = request.Events && !request.Events->lastId().empty();
-  return !Writer.started() || continued;
-}
-
-asio::awaitable<ExchangeOutcome> Session::attempt(Request &request,
-                                                  Assignment &assignment) {
-  const RouteRule &route = *request.Facts.Route;
-  const std::optional<Endpoint> to = parseEndpoint(assignment.Address);
-  if (!to) {
-    ExchangeOutcome outcome;
-    outcome.Reason = "address is not IP:port";
-    co_return outcome;
-  }
-  const Duration remaining = left(request);
+ExchangePlan Session::plan(const Request &request,
+                           const Assignment &assignment) {
   platform::TargetOrder order;
   order.Target = assignment.Target;
-  order.Team = request.Facts.Team;
-  order.Left = milliseconds(std::max<std::int64_t>(1, wholeMillis(remaining)));
+  order.Team = request.Admitted->Team;
+  order.Left = milliseconds(
+      std::max<std::int64_t>(1, wholeMillis(request.Course->left(bootNow()))));
   if (request.Events) {
     order.ResumeAfter = request.Events->lastId();
   }
   ExchangePlan plan;
-  plan.To = *to;
   const http::request<http::string_body> &message = request.Message;
   plan.Head.append(message.method_string().data(),
                    message.method_string().size());
@@ -439,49 +336,67 @@
   plan.Head.append("\r\n");
   plan.Body = message.body();
   plan.RequestId = request.Head.RequestId;
-  plan.Stream = route.Kind == routing::Repeatability::Stream;
+  plan.Stream = request.Admitted->Route->Kind == routing::Repeatability::Stream;
   plan.HeadOnly = message.method() == http::verb::head;
   plan.MostKept = Shared.Decisions.connectionShare(assignment.Pool);
+  return plan;
+}
+
+void Session::logDispatch(const Request &request,
+                          const Assignment &assignment) {
+  const routing::RequestFacts &facts = request.Course->facts();
   logLine("request", "dispatched",
           {{"id", request.Head.RequestId},
-           {"team", request.Facts.Team.Text},
-           {"route", route.Name},
+           {"team", facts.Team.Text},
+           {"route", facts.Route->Name},
            {"target", assignment.Target.Text},
            {"expected_ms", std::to_string(wholeMillis(assignment.Expected))},
            {"cached", std::to_string(assignment.CachedTokens)},
            {"prefill", std::to_string(assignment.PrefillTokens)},
-           {"output", std::to_string(request.Facts.Content.MaxOutputTokens)},
+           {"output", std::to_string(facts.Content.MaxOutputTokens)},
            {"used_share", std::to_string(assignment.UsedShare)},
-           {"view", std::to_string(request.View->Version)},
-           {"revision", std::to_string(request.Config->Number.Value)},
+           {"view", std::to_string(Shared.View->Version)},
+           {"revision", std::to_string(request.Admitted->Config->Number.Value)},
            {"report_age_ms", std::to_string(assignment.ReportAgeMs)},
-           {"left_ms", std::to_string(order.Left.count())}});
-  const bool another = route.mayRepeat() && request.Sends + 1 < route.Attempts;
-  const Duration share =
-      std::chrono::duration_cast<Duration>(remaining * FirstAttemptShare);
-  const Duration attemptLimit =
-      std::max<Duration>(ShortestAttempt, assignment.Expected + share);
-  plan.OnConnected = [this, &request, another, attemptLimit] {
-    const Duration rest = left(request);
-    if (another && attemptLimit < rest) {
+           {"left_ms", std::to_string(wholeMillis(facts.Left))}});
+}
+
+asio::awaitable<ExchangeOutcome> Session::attempt(Request &request,
+                                                  Assignment &assignment) {
+  const std::optional<Endpoint> to = parseEndpoint(assignment.Address);
+  if (!to) {
+    ExchangeOutcome outcome;
+    outcome.Reason = "address is not IP:port";
+    co_return outcome;
+  }
+  const routing::RequestCourse &course = *request.Course;
+  const Time begin = bootNow();
+  const Duration remaining = course.left(begin);
+  const Duration attemptLimit = course.attemptLimit(assignment, begin);
+  ExchangePlan order = plan(request, assignment);
+  order.To = *to;
+  logDispatch(request, assignment);
+  order.OnConnected = [this, &course, attemptLimit] {
+    const Duration rest = course.left(bootNow());
+    if (attemptLimit < rest) {
       arm(attemptLimit, Cut::AttemptLimit);
     } else {
       arm(rest, Cut::TimeLimit);
     }
   };
   bool began = false;
-  plan.OnProgress = [this, &assignment, &began, &request] {
+  order.OnProgress = [this, &assignment, &began, &request] {
     const Time now = bootNow();
     Shared.Decisions.began(assignment, now);
     if (!request.FirstAfter) {
       request.FirstAfter = now - request.ArrivedAt;
     }
     if (!began && CutBy == Cut::None) {
-      arm(request.EndsAt - now, Cut::TimeLimit);
+      arm(request.Course->left(now), Cut::TimeLimit);
     }
     began = true;
   };
-  Exchange exchange(Shared.Targets, std::move(plan), Writer,
+  Exchange exchange(Shared.Targets, std::move(order), Writer,
                     request.Events ? &*request.Events : nullptr);
   Running = &exchange;
   CutBy = Cut::None;
@@ -530,21 +445,7 @@
         status, outcome.Reason);
     co_return;
   }
-  if (request.Sends == 0) {
-    const OwnAnswer own{503, "unreachable: " + outcome.Reason, StaleRetryAfter};
-    co_await answer(request, own);
-    co_return;
-  }
-  if (!request.MayHaveRun) {
-    const OwnAnswer own{503, "target_refused: " + outcome.Reason,
-                        StaleRetryAfter};
-    co_await answer(request, own);
-    co_return;
-  }
-  const unsigned status =
-      outcome.Result == ExchangeResult::TimedOut ? 504 : 502;
-  const OwnAnswer own{status, outcome.Reason, std::nullopt};
-  co_await answer(request, own);
+  co_await answer(request, request.Course->ownAnswer());
 }
 
 asio::awaitable<void> Session::answer(Request &request, const OwnAnswer &own) {
@@ -563,21 +464,21 @@
 void Session::end(const Request &request, const std::string &outcome,
                   unsigned status, const std::string &reason) {
   Shared.Counters.request(outcome);
-  logLine("request", "ended",
-          {{"id", request.Head.RequestId},
-           {"team", request.Facts.Team.Text},
-           {"route",
-            request.Facts.Route != nullptr ? request.Facts.Route->Name : ""},
-           {"outcome", outcome},
-           {"status", std::to_string(status)},
-           {"reason", reason},
-           {"sends", std::to_string(request.Sends)},
-           {"first_ms", request.FirstAfter
-                            ? std::to_string(wholeMillis(*request.FirstAfter))
-                            : ""},
-           {"config_age_ms",
-            std::to_string(wholeMillis(Shared.Shared.configAge(bootNow())))},
-           {"ms", std::to_string(wholeMillis(bootNow() - request.ArrivedAt))}});
+  logLine(
+      "request", "ended",
+      {{"id", request.Head.RequestId},
+       {"team", request.Admitted ? request.Admitted->Team.Text : ""},
+       {"route", request.Admitted ? request.Admitted->Route->Name : ""},
+       {"outcome", outcome},
+       {"status", std::to_string(status)},
+       {"reason", reason},
+       {"sends", std::to_string(request.Course ? request.Course->sends() : 0)},
+       {"first_ms", request.FirstAfter
+                        ? std::to_string(wholeMillis(*request.FirstAfter))
+                        : ""},
+       {"config_age_ms",
+        std::to_string(wholeMillis(Shared.Shared.configAge(bootNow())))},
+       {"ms", std::to_string(wholeMillis(bootNow() - request.ArrivedAt))}});
 }
 
 } // namespace
