--- a/packages/routing/include/nutmegsill/routing/store_link.h
+++ b/packages/routing/include/nutmegsill/routing/store_link.h
@@ -66,6 +66,7 @@
   StoreRevision revision() const { return At; }
   const std::string &state() const { return State; }
   const StoreLinkPolicy &policy() const { return Policy; }
+  const Chart &chart() const { return Steps; }
 
 private:
   void step(const char *event);
