Teams far over their shares get the same in the end

Change: above `ShareTo` the wait that a team is allowed falls with the inverse of its share. A team within its share that draws busy engines is compared on all before it is refused. Test first: dispatcher_of_two_teams_over_their_shares_more_is_refused.

--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -109,7 +109,8 @@
   double LateAt = 1.2;
   /// Part of the objective that the expected time may reach for a team that
   /// gets at most `ShareFrom` of its fair share. It falls to `LeastWait` for a
-  /// team that gets `ShareTo` of it, so that teams that get less go first.
+  /// team that gets `ShareTo` of it and further with the inverse of the share,
+  /// so that teams that get less go first.
   double MostWait = 0.9;
   double LeastWait = 0.25;
   double ShareFrom = 0.8;
@@ -197,7 +198,17 @@
   double waitPart(double usedShare) const;
   std::vector<EngineOption> engineOptions(const RequestFacts &request,
                                           const EngineLimits &limits,
-                                          const TargetId *home, Time now);
+                                          const TargetId *home, bool all,
+                                          Time now);
+  /// The engine with the least loss, of a few random ones or of all.
+  std::optional<EngineOption> bestEngine(const RequestFacts &request,
+                                         const PoolRule &pool, bool all,
+                                         Time now);
+  /// Longest time to the first event for which a request is sent.
+  Duration waitLimit(const RequestFacts &request, const EngineOption &engine,
+                     double usedShare) const;
+  /// What the team gets of its fair share, over the whole fleet.
+  double usedShare(const TeamId &team, Time now);
   /// The engines that are compared for a request.
   std::vector<TargetState *>
   compared(std::vector<TargetState *> open,
--- a/packages/routing/test/dispatcher_test.cpp
+++ b/packages/routing/test/dispatcher_test.cpp
@@ -154,6 +154,18 @@
   CHECK(send(captions(1, 100, 100, "small"), at(10)));
 }
 
+TEST_CASE_METHOD(DispatcherFixture,
+                 "dispatcher_of_two_teams_over_their_shares_more_is_refused") {
+  // Rated tokens are 40,000: 4 and 12 times an even share of what is left.
+  LoadReport report;
+  report.Targets = {{TargetId{"e-1"}, 4'000, 4}, {TargetId{"e-2"}, 4'000, 4}};
+  report.Teams = {{TeamId{"large"}, {400'000, 240'000}},
+                  {TeamId{"small"}, {400'000, 60'000}}};
+  Choices.hear(HostId{"host-2"}, report, at(0));
+  CHECK_FALSE(send(captions(1, 100, 100, "large"), at(10)));
+  CHECK(send(captions(1, 100, 100, "small"), at(10)));
+}
+
 TEST_CASE_METHOD(DispatcherFixture,
                  "dispatcher_prompt_longer_than_its_objective_is_served_late") {
   const std::optional<Assignment> sent = send(captions(1, 100, 39'000), at(0));
