Remove what the platform makes needless: the stand-alone fleet

What it was for: claims kept a purchase at most once over several routers, owner records and promises gave one granter of a target's slots, the host list and heartbeats were membership, the admin interface and a key-value service held the configuration, team homes and tags shared capacity. Why it is gone: on the platform a caller's attempt has its own id and reaches one router; targets queue and refuse truthfully; routers register under leases in the platform's store, which also holds the operators' configuration, and which lets nobody else write it; callers connect over plain HTTP. Removed: packages/core but for charts, hashing and types; packages/router, etcd and harness; the peer messages and their codec; the stand-ins of the old service, host list and targets; experiments, plots and slopes; the commands diff, apply, zone and target; five design notes and ADMIN_API. `nutmegsillctl` explains requests, checks a configuration and shows the store's fleet.

--- a/packages/core/include/nutmegsill/chart.h
+++ b/packages/core/include/nutmegsill/chart.h
@@ -55,27 +55,4 @@
   std::map<std::string, std::map<std::string, Transition>> States;
 };
 
-/// The charts that the decisions need.
-struct Charts {
-  Chart Target;
-  Chart Request;
-  Chart Ownership;
-  Chart Instance;
-};
-
-/// Texts of the four chart files.
-struct ChartTexts {
-  std::string Target;
-  std::string Request;
-  std::string Ownership;
-  std::string Instance;
-};
-
-/// Parses all charts; faults name the chart they are in.
-std::shared_ptr<const Charts> parseCharts(const ChartTexts &texts,
-                                          std::vector<std::string> &faults);
-
-/// The chart files that the build embedded.
-ChartTexts builtInCharts();
-
 } // namespace nutmegsill
--- a/packages/core/include/nutmegsill/types.h
+++ b/packages/core/include/nutmegsill/types.h
@@ -28,36 +28,8 @@
 
 /// Distinguishes two lives of the same host; drawn once per process start.
 using Incarnation = Number<struct IncarnationKind>;
-/// Counts the owners of one target; used as fencing number towards targets.
-using Epoch = Number<struct EpochKind>;
 /// Counts accepted configurations.
 using Revision = Number<struct RevisionKind>;
-/// Names a request within one router process.
-using RequestId = Number<struct RequestKind>;
-/// Names a grant within one owner incarnation.
-using GrantId = Number<struct GrantKind>;
-/// Names a call to the platform's key-value service within one process.
-using CallId = Number<struct CallKind>;
-
-/// Work done for a team, in cost units (one generated token, or one call of a
-/// plain service times the pool's cost).
-struct Cost {
-  std::int64_t Units = 0;
-  auto operator<=>(const Cost &) const = default;
-};
-
-/// Service received per unit of weight, in thousandths of a cost unit.
-struct VirtualService {
-  std::int64_t Milli = 0;
-  auto operator<=>(const VirtualService &) const = default;
-  VirtualService operator+(VirtualService o) const { return {Milli + o.Milli}; }
-  VirtualService operator-(VirtualService o) const { return {Milli - o.Milli}; }
-};
-
-/// Converts work to service per unit of weight. A weight is at least one.
-constexpr VirtualService perWeight(Cost cost, std::uint32_t weight) {
-  return {cost.Units * 1000 / static_cast<std::int64_t>(weight)};
-}
 
 /// The monotonic clock of one process. It has no `now`: time is an input.
 struct ProcessClock {
--- a/packages/core/src/chart.cpp
+++ b/packages/core/src/chart.cpp
@@ -124,47 +124,4 @@
   return all;
 }
 
-std::shared_ptr<const Charts> parseCharts(const ChartTexts &texts,
-                                          std::vector<std::string> &faults) {
-  const ChartWords target{
-      {"cold", "warming", "ready", "draining", "gone"},
-      {"completed", "restarted", "drain", "readmit", "emptied"},
-      {"limit_full"}};
-  const ChartWords request{
-      {"received", "claiming", "queued", "dispatched", "passed_on", "done",
-       "not_run", "unknown"},
-      {"claim", "queue", "refuse", "caller_gone", "claim_confirmed",
-       "claim_held", "claim_lost", "grant", "complete", "not_sent",
-       "broken_before_answer", "lost"},
-      {"not_idempotent", "retry_left", "may_repeat", "nothing_sent"}};
-  const ChartWords ownership{
-      {"none", "swapping", "waiting", "recovering", "granting", "handing_over"},
-      {"claim", "swapped", "handed_over", "lost", "waited", "recovered",
-       "hand_over"},
-      {}};
-  const ChartWords instance{
-      {"starting", "serving", "cut_off", "leaving", "gone"},
-      {"configured", "isolated", "rejoined", "stop", "emptied"},
-      {}};
-  std::vector<std::string> found;
-  const auto parse = [&](const char *name, const std::string &text,
-                         const ChartWords &words) {
-    std::vector<std::string> own;
-    std::optional<Chart> chart = Chart::parse(name, text, words, own);
-    for (const std::string &fault : own) {
-      found.push_back(std::string(name) + " chart: " + fault);
-    }
-    return chart;
-  };
-  std::optional<Chart> t = parse("target", texts.Target, target);
-  std::optional<Chart> r = parse("request", texts.Request, request);
-  std::optional<Chart> o = parse("ownership", texts.Ownership, ownership);
-  std::optional<Chart> i = parse("instance", texts.Instance, instance);
-  faults.insert(faults.end(), found.begin(), found.end());
-  if (!found.empty()) {
-    return nullptr;
-  }
-  return std::make_shared<const Charts>(Charts{*t, *r, *o, *i});
-}
-
 } // namespace nutmegsill
--- a/packages/core/test/chart_test.cpp
+++ b/packages/core/test/chart_test.cpp
@@ -50,9 +50,3 @@
   CHECK_FALSE(parse("{"));
   CHECK(Faults.size() == 1);
 }
-
-TEST_CASE("charts_built_in_valid") {
-  std::vector<std::string> faults;
-  CHECK(parseCharts(builtInCharts(), faults));
-  CHECK(faults.empty());
-}
--- /dev/null
+++ b/packages/ctl/src/fleet_status.cpp
@@ -0,0 +1,116 @@
+#include "fleet_status.h"
+
+#include "nutmegsill/platform/store.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+namespace nutmegsill {
+
+namespace asio = boost::asio;
+using Json = nlohmann::ordered_json;
+using namespace routing;
+
+namespace {
+
+/// An operator waits longer than a router.
+constexpr Duration StoreTimeout = milliseconds(5'000);
+
+asio::awaitable<void> listAll(platform::Store &store,
+                              std::optional<std::vector<StoreFact>> &facts,
+                              std::string &reason) {
+  std::vector<StoreFact> all;
+  std::string after;
+  for (bool more = true; more;) {
+    platform::StoreResult<platform::ItemsPage> page =
+        co_await store.list(after);
+    if (!page.Ok) {
+      reason = page.Reason;
+      co_return;
+    }
+    for (StoreFact &it : page.Ok->Facts) {
+      all.push_back(std::move(it));
+    }
+    more = page.Ok->More && page.Ok->LastKey > after;
+    after = page.Ok->LastKey;
+  }
+  facts = std::move(all);
+}
+
+/// Adds one fact to the status.
+struct StatusWriter {
+  Json &Root;
+
+  void operator()(const ConfigSeen &it) const {
+    Root["configuration"] = {{"number", it.Config->Number.Value},
+                             {"routes", it.Config->Routes.size()},
+                             {"pools", it.Config->Pools.size()},
+                             {"teams", it.Config->Teams.size()}};
+  }
+  void operator()(const ZoneTakenOut &it) const {
+    Root["zones_out"].push_back(it.Zone.Text);
+  }
+  void operator()(const TargetSeen &it) const {
+    Root["targets"].push_back({{"target", it.Entry.Target.Text},
+                               {"pool", it.Entry.Pool.Text},
+                               {"zone", it.Entry.Zone.Text},
+                               {"address", it.Entry.Address},
+                               {"draining", it.Entry.Draining},
+                               {"cold_ms", wholeMillis(it.Entry.ColdLeft)}});
+  }
+  void operator()(const RouterSeen &it) const {
+    Root["routers"].push_back({{"host", it.Entry.Host.Text},
+                               {"zone", it.Entry.Zone.Text},
+                               {"address", it.Entry.CallerAddress}});
+  }
+  void operator()(const Unreadable &it) const {
+    Root["unreadable"].push_back({{"key", it.Key}, {"reason", it.Reason}});
+  }
+  void operator()(const ZoneTakenBack & /*it*/) const {}
+  void operator()(const TargetGone & /*it*/) const {}
+  void operator()(const RouterGone & /*it*/) const {}
+  void operator()(const Unrelated & /*it*/) const {}
+};
+
+} // namespace
+
+std::optional<std::vector<StoreFact>> readStore(const Endpoint &store,
+                                                std::string &reason) {
+  asio::io_context io;
+  platform::Store calls(store, StoreTimeout);
+  std::optional<std::vector<StoreFact>> facts;
+  asio::co_spawn(io, listAll(calls, facts, reason), asio::detached);
+  io.run();
+  return facts;
+}
+
+void printStatus(const std::vector<StoreFact> &facts, bool json,
+                 std::ostream &out) {
+  Json root{{"configuration", nullptr},
+            {"routers", Json::array()},
+            {"targets", Json::array()},
+            {"zones_out", Json::array()},
+            {"unreadable", Json::array()}};
+  for (const StoreFact &it : facts) {
+    std::visit(StatusWriter{root}, it);
+  }
+  if (json) {
+    out << root.dump(2) << "\n";
+    return;
+  }
+  for (const auto &[section, value] : root.items()) {
+    out << section << ":";
+    if (!value.is_array()) {
+      out << " " << value.dump() << "\n";
+      continue;
+    }
+    out << " " << value.size() << "\n";
+    for (const Json &row : value) {
+      out << "  " << row.dump() << "\n";
+    }
+  }
+}
+
+} // namespace nutmegsill
--- /dev/null
+++ b/packages/gateway/src/main.cpp
@@ -0,0 +1,90 @@
+/// The router process.
+#include "gateway.h"
+#include "log.h"
+#include "settings.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace {
+
+using namespace nutmegsill;
+
+constexpr int ExitFault = 1;
+constexpr int ExitUsage = 2;
+/// Names the settings file where the command line does not.
+constexpr const char *SettingsVariable = "NUTMEGSILL_SETTINGS";
+
+std::optional<std::string> readFile(const std::string &path) {
+  std::ifstream file(path);
+  if (!file) {
+    std::cerr << path << ": cannot be read\n";
+    return std::nullopt;
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+/// Prints every fault of the settings; runs the router when there are none.
+int start(const std::string &path, const std::string &text, bool checkOnly,
+          const char *program) {
+  const gateway::GatewaySettingsResult result =
+      gateway::parseGatewaySettings(text);
+  for (const std::string &fault : result.Faults) {
+    std::cerr << path << ": " << fault << "\n";
+  }
+  if (!result.Value) {
+    return ExitFault;
+  }
+  if (checkOnly) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  startLog(program, result.Value->Host.Text);
+  return gateway::runGateway(*result.Value, path);
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  cxxopts::Options options("nutmegsill-router",
+                           "Shares model and application capacity among teams");
+  options.add_options()("settings", "JSON settings file",
+                        cxxopts::value<std::string>())(
+      "check-settings", "check the settings and exit")(
+      "version", "print the version")("help", "print this help");
+  try {
+    const cxxopts::ParseResult parsed = options.parse(argc, argv);
+    if (parsed.count("help") != 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    if (parsed.count("version") != 0) {
+      std::cout << "nutmegsill-router " << NUTMEGSILL_VERSION << "\n";
+      return 0;
+    }
+    const char *named = std::getenv(SettingsVariable);
+    if (parsed.count("settings") == 0 && named == nullptr) {
+      std::cerr << "--settings: expected a file\n" << options.help();
+      return ExitUsage;
+    }
+    const std::string path = parsed.count("settings") != 0
+                                 ? parsed["settings"].as<std::string>()
+                                 : std::string(named);
+    const std::optional<std::string> text = readFile(path);
+    if (!text) {
+      return ExitFault;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    const bool checkOnly = parsed.count("check-settings") != 0;
+    return start(path, *text, checkOnly, argv[0]);
+  } catch (const cxxopts::exceptions::exception &error) {
+    std::cerr << error.what() << "\n";
+    return ExitUsage;
+  }
+}
--- a/packages/gateway/src/settings.cpp
+++ b/packages/gateway/src/settings.cpp
@@ -107,11 +107,6 @@
 
 } // namespace
 
-bool isGatewaySettings(const std::string &text) {
-  const json root = json::parse(text, nullptr, false);
-  return root.is_object() && root.contains("gateway");
-}
-
 GatewaySettingsResult parseGatewaySettings(const std::string &text) {
   GatewaySettingsResult result;
   const json root = json::parse(text, nullptr, false);
--- a/packages/gateway/src/settings.h
+++ b/packages/gateway/src/settings.h
@@ -45,9 +45,6 @@
   std::vector<std::string> Faults;
 };
 
-/// True when `text` has the settings of a gateway, valid or not.
-bool isGatewaySettings(const std::string &text);
-
 /// Ignores members that it does not know.
 GatewaySettingsResult parseGatewaySettings(const std::string &text);
 
--- a/packages/process/src/metrics.cpp
+++ b/packages/process/src/metrics.cpp
@@ -29,14 +29,11 @@
         Dropped(family(*Registry, "nutmegsill_peer_dropped_total",
                        "Peer messages that were dropped")),
         Calls(family(*Registry, "nutmegsill_platform_calls_total",
-                     "Calls to the key-value service")),
+                     "Calls to the store")),
         Requests(family(*Registry, "nutmegsill_requests_total",
                         "Callers' requests by outcome")),
         Decisions(family(*Registry, "nutmegsill_decisions_total",
-                         "Routing and placement decisions")),
-        Control(family(*Registry, "nutmegsill_control_seconds_total",
-                       "Processor time of the control thread")
-                    .Add({})) {
+                         "Changes of what a router believes")) {
     Server.RegisterCollectable(Registry);
   }
 
@@ -48,7 +45,6 @@
   Family<Counter> &Calls;
   Family<Counter> &Requests;
   Family<Counter> &Decisions;
-  Counter &Control;
 };
 
 Metrics::Metrics(std::unique_ptr<Parts> parts) : Impl(std::move(parts)) {}
@@ -88,8 +84,4 @@
   Impl->Decisions.Add({{"what", what}}).Increment();
 }
 
-void Metrics::controlSeconds(double seconds) {
-  Impl->Control.Increment(seconds);
-}
-
 } // namespace nutmegsill
--- a/packages/process/src/metrics.h
+++ b/packages/process/src/metrics.h
@@ -22,8 +22,6 @@
   void platformCall(const std::string &type, const std::string &result);
   void request(const std::string &outcome);
   void decision(const std::string &what);
-  /// Processor time spent on decisions.
-  void controlSeconds(double seconds);
 
 private:
   struct Parts;
--- a/packages/process/src/peer_socket.cpp
+++ b/packages/process/src/peer_socket.cpp
@@ -1,10 +1,10 @@
 #include "peer_socket.h"
 
-#include "nutmegsill/codec.h"
 #include "nutmegsill/http_client.h"
 
 #include <array>
 #include <boost/asio/posix/stream_descriptor.hpp>
+#include <charconv>
 #include <map>
 #include <zmq.hpp>
 #include <zmq_addon.hpp>
@@ -18,6 +18,27 @@
 constexpr std::size_t CurveKeyBytes = 32;
 constexpr const char *AuthEndpoint = "inproc://zeromq.zap.01";
 
+/// Routing identity "HOST|LIFE" of a connection.
+std::string encodeIdentity(const Instance &instance) {
+  return instance.Host.Text + "|" + std::to_string(instance.Life.Value);
+}
+
+/// Nothing for an identity of another form.
+std::optional<Instance> decodeIdentity(std::string_view text) {
+  const std::size_t bar = text.rfind('|');
+  if (bar == std::string_view::npos || bar == 0) {
+    return std::nullopt;
+  }
+  Instance out;
+  out.Host.Text = std::string(text.substr(0, bar));
+  const std::string_view life = text.substr(bar + 1);
+  const std::from_chars_result read =
+      std::from_chars(life.data(), life.data() + life.size(), out.Life.Value);
+  const bool whole =
+      read.ec == std::errc() && read.ptr == life.data() + life.size();
+  return whole ? std::optional<Instance>(out) : std::nullopt;
+}
+
 } // namespace
 
 struct PeerSocket::Parts {
--- a/packages/simulation/src/virtual_fleet.cpp
+++ b/packages/simulation/src/virtual_fleet.cpp
@@ -79,13 +79,13 @@
   const Target &target = *Targets.at(id);
   TargetEntry entry = target.Served.entry();
   entry.ColdLeft = std::max(Duration{0}, target.ColdUntil - Clock.now());
-  Store.put("servers/" + id.Text, TargetSeen{entry}, TargetGone{id}, EntryLife);
+  Store.put("targets/" + id.Text, TargetSeen{entry}, TargetGone{id}, EntryLife);
 }
 
 void VirtualFleet::heartbeat(const TargetId &id) {
   const HostId writer{id.Text};
   if (Targets.at(id)->Served.alive()) {
-    const std::string key = "servers/" + id.Text;
+    const std::string key = "targets/" + id.Text;
     Store.keep(writer, key, [this, id](const StoreReply &it) {
       const StoreLoss *loss = std::get_if<StoreLoss>(&it);
       const bool ended = loss != nullptr && *loss == StoreLoss::HistoryGone;
