Routers of a large fleet collect changes for up to 0.75 s

Change: 10 ms for each router between two watches, 750 ms at most (5 and 500 before). Routers of nine wait 90 ms.

--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -18,8 +18,9 @@
 constexpr milliseconds StoreTimeout{700};
 /// Changes are collected for this long before the next watch, for each router
 /// of the fleet: every change ends one watch of every router.
-constexpr milliseconds WatchPausePerRouter{5};
-constexpr milliseconds LongestWatchPause{500};
+constexpr milliseconds WatchPausePerRouter{10};
+/// A configuration must be in force 2 s after it was accepted.
+constexpr milliseconds LongestWatchPause{750};
 /// Longest wait of other parts for the follower: it may fail alone.
 constexpr milliseconds LongestHold{1'500};
 constexpr milliseconds HoldStep{50};
