--- a/packages/standins/src/local_fleet.cpp
+++ b/packages/standins/src/local_fleet.cpp
@@ -62,6 +62,15 @@
   Store->put("servers/" + worker.id(), worker.entry(state));
 }
 
+Process LocalFleet::launch(const std::string &host) const {
+  return Process(Program, {"--settings", Folder + "/" + host + ".json"},
+                 Folder + "/" + host + ".log");
+}
+
+void LocalFleet::restartRouter(std::size_t router) {
+  Processes[router] = launch(Routers[router].Host);
+}
+
 bool LocalFleet::addRouter() {
   RouterPorts ports;
   ports.Host = "host-" + std::to_string(Routers.size() + 1);
@@ -87,8 +96,7 @@
         {"retry_extra", 50}}}};
   const std::string path = Folder + "/" + ports.Host + ".json";
   std::ofstream(path) << settings.dump();
-  Processes.emplace_back(Program, std::vector<std::string>{"--settings", path},
-                         Folder + "/" + ports.Host + ".log");
+  Processes.push_back(launch(ports.Host));
   Routers.push_back(ports);
   return eventually(
       [&] { return get(ports.Readiness, "/readyz").Status == 200; });
--- a/packages/standins/src/local_fleet.h
+++ b/packages/standins/src/local_fleet.h
@@ -31,6 +31,8 @@
 
   /// Starts a router; true when it is ready.
   bool addRouter();
+  /// Starts a router again that has ended.
+  void restartRouter(std::size_t router);
   /// A configuration whose orders go to `buyPool`, all else to "desk".
   static std::string configText(std::uint64_t version,
                                 const std::string &keys = "\"key-prints\"",
@@ -46,6 +48,8 @@
   eventually(const std::function<bool()> &holds,
              std::chrono::milliseconds patience = std::chrono::seconds(5));
 
+  Process launch(const std::string &host) const;
+
   std::string Program;
   std::string StoreAddress;
   std::unique_ptr<StoreStandin> Store;
--- a/packages/standins/src/process.cpp
+++ b/packages/standins/src/process.cpp
@@ -44,6 +44,8 @@
     const int log = open(logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
+    // Sockets of this process must not stay open in the child.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(program.c_str(), pointers.data());
     _exit(ExecFailed);
   }
--- a/packages/standins/src/worker_standin.cpp
+++ b/packages/standins/src/worker_standin.cpp
@@ -54,10 +54,14 @@
   return it == Runs.end() ? 0 : it->second;
 }
 
-std::string WorkerStandin::entry(const std::string &state) const {
-  return json{{"service", Service}, {"address", Address}, {"zone", "zone-a"},
-              {"version", "v1"},    {"slots", 6},         {"state", state},
-              {"cold-left-ms", 0},  {"seq", 1},           {"born", 1}}
+std::string WorkerStandin::entry(const std::string &state,
+                                 const std::string &address) const {
+  return json{
+      {"service", Service}, {"address", address.empty() ? Address : address},
+      {"zone", "zone-a"},   {"version", "v1"},
+      {"slots", 6},         {"state", state},
+      {"cold-left-ms", 0},  {"seq", 1},
+      {"born", 1}}
       .dump();
 }
 
@@ -81,6 +85,7 @@
 
 asio::awaitable<void> WorkerStandin::handle(ServerExchange &exchange) {
   SeenRequest seen;
+  seen.At = std::chrono::steady_clock::now();
   seen.Id = field(exchange.Request, "Request-Id");
   seen.Team = field(exchange.Request, "Tenant");
   seen.Key = field(exchange.Request, "Authorization");
--- a/packages/standins/src/worker_standin.h
+++ b/packages/standins/src/worker_standin.h
@@ -3,6 +3,7 @@
 
 #include "http_server.h"
 
+#include <chrono>
 #include <map>
 #include <mutex>
 #include <string>
@@ -38,6 +39,7 @@
   std::string Body;
   std::string ResumedAfter;
   std::int64_t DeadlineMs = 0;
+  std::chrono::steady_clock::time_point At;
 };
 
 /// Thread-safe; serves on a thread of its own.
@@ -51,8 +53,9 @@
   void setEventPause(std::chrono::milliseconds pause);
   std::vector<SeenRequest> seen() const;
   int runs(const std::string &requestId) const;
-  /// Its entry in the store.
-  std::string entry(const std::string &state = "ready") const;
+  /// Its entry in the store; `address` replaces its own.
+  std::string entry(const std::string &state = "ready",
+                    const std::string &address = "") const;
   const std::string &id() const { return Id; }
   const std::string &address() const { return Address; }
 
