Latency histograms, open requests and ages of beliefs on the metrics address

Change: time to the end and to the first part by kind and outcome, ages of the configuration and of load reports, open requests. Test first: gateway_metrics_show_latencies_and_ages.

--- a/packages/core/include/nutmegsill/types.h
+++ b/packages/core/include/nutmegsill/types.h
@@ -48,6 +48,10 @@
   return std::chrono::duration_cast<milliseconds>(span).count();
 }
 
+constexpr double inSeconds(Duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
 /// One process: a host and which of its lives.
 struct Instance {
   HostId Host;
--- a/packages/gateway/src/front.cpp
+++ b/packages/gateway/src/front.cpp
@@ -121,6 +121,10 @@
     if (!Parts.refresh(now)) {
       continue;
     }
+    Parts.Counters.openRequests(Parts.Active);
+    Parts.Counters.age("configuration", inSeconds(Parts.Shared.configAge(now)));
+    Parts.Counters.age("load_reports",
+                       inSeconds(Parts.Decisions.oldestReport(now)));
     routing::OutgoingReports load = Parts.Decisions.reports(now);
     receivers = load.Paths.size();
     const bool empty = load.Row.Targets.empty() && load.Row.Teams.empty();
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -464,7 +464,15 @@
 
 void Session::end(const Request &request, const std::string &outcome,
                   unsigned status, const std::string &reason) {
-  Shared.Counters.request(outcome);
+  const char *kind =
+      request.Admitted
+          ? routing::repeatabilityName(request.Admitted->Route->Kind)
+          : "none";
+  const Duration took = bootNow() - request.ArrivedAt;
+  Shared.Counters.request(kind, outcome, inSeconds(took));
+  if (request.FirstAfter) {
+    Shared.Counters.firstPart(kind, inSeconds(*request.FirstAfter));
+  }
   logLine(
       "request", "ended",
       {{"id", request.Head.RequestId},
@@ -479,7 +487,7 @@
                         : ""},
        {"config_age_ms",
         std::to_string(wholeMillis(Shared.Shared.configAge(bootNow())))},
-       {"ms", std::to_string(wholeMillis(bootNow() - request.ArrivedAt))}});
+       {"ms", std::to_string(wholeMillis(took))}});
 }
 
 } // namespace
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -160,4 +160,17 @@
   CHECK(code == 0);
 }
 
+TEST_CASE_METHOD(GatewayFixture, "gateway_metrics_show_latencies_and_ages") {
+  const RouterPorts &router = startRouter();
+  CHECK(call("/safe/a", "id-1").Status == 200);
+  CHECK(eventually([&] {
+    const std::string text = get(router.Metrics, "/metrics").Body;
+    return text.find("nutmegsill_request_seconds_count{kind=\"idempotent\"") !=
+               std::string::npos &&
+           text.find(
+               "nutmegsill_belief_age_seconds{belief=\"configuration\"") !=
+               std::string::npos;
+  }));
+}
+
 } // namespace nutmegsill::standin
--- a/packages/process/src/metrics.cpp
+++ b/packages/process/src/metrics.cpp
@@ -2,6 +2,8 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/exposer.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 namespace nutmegsill {
@@ -9,6 +11,8 @@
 using prometheus::BuildCounter;
 using prometheus::Counter;
 using prometheus::Family;
+using prometheus::Gauge;
+using prometheus::Histogram;
 
 namespace {
 
@@ -17,6 +21,14 @@
   return BuildCounter().Name(name).Help(help).Register(registry);
 }
 
+/// Bounds of latencies in seconds: around the users' objectives of 0.15 to 0.8
+/// and their limits of 1.5 to 15.
+const Histogram::BucketBoundaries &latencyBounds() {
+  static const Histogram::BucketBoundaries bounds{
+      0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 0.8, 1.5, 3, 5, 15};
+  return bounds;
+}
+
 } // namespace
 
 struct Metrics::Parts {
@@ -33,7 +45,24 @@
         Requests(family(*Registry, "nutmegsill_requests_total",
                         "Callers' requests by outcome")),
         Decisions(family(*Registry, "nutmegsill_decisions_total",
-                         "Changes of what a router believes")) {
+                         "Changes of what a router believes")),
+        Latency(prometheus::BuildHistogram()
+                    .Name("nutmegsill_request_seconds")
+                    .Help("Time to the end of callers' requests")
+                    .Register(*Registry)),
+        First(prometheus::BuildHistogram()
+                  .Name("nutmegsill_first_part_seconds")
+                  .Help("Time to the first part of an answer")
+                  .Register(*Registry)),
+        Ages(prometheus::BuildGauge()
+                 .Name("nutmegsill_belief_age_seconds")
+                 .Help("Age of what a router believes")
+                 .Register(*Registry)),
+        Open(prometheus::BuildGauge()
+                 .Name("nutmegsill_open_requests")
+                 .Help("Requests that are being served")
+                 .Register(*Registry)
+                 .Add({})) {
     Server.RegisterCollectable(Registry);
   }
 
@@ -45,6 +74,10 @@
   Family<Counter> &Calls;
   Family<Counter> &Requests;
   Family<Counter> &Decisions;
+  Family<Histogram> &Latency;
+  Family<Histogram> &First;
+  Family<Gauge> &Ages;
+  Gauge &Open;
 };
 
 Metrics::Metrics(std::unique_ptr<Parts> parts) : Impl(std::move(parts)) {}
@@ -76,8 +109,23 @@
   Impl->Calls.Add({{"type", type}, {"result", result}}).Increment();
 }
 
-void Metrics::request(const std::string &outcome) {
-  Impl->Requests.Add({{"outcome", outcome}}).Increment();
+void Metrics::request(const std::string &kind, const std::string &outcome,
+                      double seconds) {
+  Impl->Requests.Add({{"kind", kind}, {"outcome", outcome}}).Increment();
+  Impl->Latency.Add({{"kind", kind}, {"outcome", outcome}}, latencyBounds())
+      .Observe(seconds);
+}
+
+void Metrics::firstPart(const std::string &kind, double seconds) {
+  Impl->First.Add({{"kind", kind}}, latencyBounds()).Observe(seconds);
+}
+
+void Metrics::age(const std::string &belief, double seconds) {
+  Impl->Ages.Add({{"belief", belief}}).Set(seconds);
+}
+
+void Metrics::openRequests(std::size_t count) {
+  Impl->Open.Set(static_cast<double>(count));
 }
 
 void Metrics::decision(const std::string &what) {
--- a/packages/process/src/metrics.h
+++ b/packages/process/src/metrics.h
@@ -1,4 +1,4 @@
-/// Counters of one router, scraped from its metrics address.
+/// Counters and histograms of one router, scraped from its metrics address.
 #pragma once
 
 #include <memory>
@@ -20,7 +20,14 @@
   /// A peer message that was dropped, by reason.
   void peerDropped(const std::string &reason);
   void platformCall(const std::string &type, const std::string &result);
-  void request(const std::string &outcome);
+  /// A caller's request of a route's `kind` that ended after `seconds`.
+  void request(const std::string &kind, const std::string &outcome,
+               double seconds);
+  /// The first part of an answer came after `seconds`.
+  void firstPart(const std::string &kind, double seconds);
+  /// How old a belief is.
+  void age(const std::string &belief, double seconds);
+  void openRequests(std::size_t count);
   void decision(const std::string &what);
 
 private:
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -161,6 +161,8 @@
   void ended(Assignment &assignment, ExchangeResult result, Time now);
 
   OutgoingReports reports(Time now);
+  /// Age of the oldest report that decides.
+  Duration oldestReport(Time now) const { return Peers.oldest(now); }
   /// Connections that this router may hold to one target of the pool.
   std::uint32_t connectionShare(const PoolId &pool) const;
 
--- a/packages/routing/include/nutmegsill/routing/model.h
+++ b/packages/routing/include/nutmegsill/routing/model.h
@@ -26,6 +26,8 @@
   Stream,
 };
 
+const char *repeatabilityName(Repeatability kind);
+
 /// One pool of a route and its part of the route's traffic.
 struct PoolWeight {
   PoolId Pool;
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -24,10 +24,6 @@
 /// milliseconds each way, a request takes about fifteen.
 constexpr double OtherZoneAsLoad = 0.6;
 
-double seconds(Duration span) {
-  return std::chrono::duration<double>(span).count();
-}
-
 bool contains(const std::vector<TargetId> &list, const TargetId &id) {
   return std::find(list.begin(), list.end(), id) != list.end();
 }
@@ -146,7 +142,7 @@
   }
   const double rate = pool->ColdRate * Policy.ColdShare / Policy.ColdSenders;
   state.ColdPermits = std::min(
-      1.0, state.ColdPermits + rate * seconds(now - state.ColdPermitsAt));
+      1.0, state.ColdPermits + rate * inSeconds(now - state.ColdPermitsAt));
   state.ColdPermitsAt = now;
   return state.ColdPermits >= 1.0;
 }
--- a/packages/routing/src/engine_choice.cpp
+++ b/packages/routing/src/engine_choice.cpp
@@ -21,10 +21,6 @@
 constexpr Duration ShortestRetryAfter = milliseconds(300);
 constexpr Duration LongestRetryAfter = milliseconds(1'500);
 
-double seconds(Duration span) {
-  return std::chrono::duration<double>(span).count();
-}
-
 Duration fromSeconds(double value) {
   return Duration(static_cast<std::int64_t>(value * 1e6));
 }
@@ -85,15 +81,15 @@
     }
   }
   const double wait = tokens / std::max(1.0, engines) / prefillRate();
-  return std::clamp(wait / seconds(Policy.BusyWait), 0.0, 1.0);
+  return std::clamp(wait / inSeconds(Policy.BusyWait), 0.0, 1.0);
 }
 
 double Dispatcher::lossAt(const EngineOption &option,
                           const RequestFacts &request, const TargetId *home,
                           std::uint32_t cachedAnywhere, double busy) const {
   const TargetState &state = *option.Target;
-  const double objective = std::max(1e-3, seconds(request.Route->Objective));
-  const double part = seconds(request.Waited + option.Expected) / objective;
+  const double objective = std::max(1e-3, inSeconds(request.Route->Objective));
+  const double part = inSeconds(request.Waited + option.Expected) / objective;
   const double late = std::clamp(
       (part - Policy.LateFrom) / (Policy.LateAt - Policy.LateFrom), 0.0, 1.0);
   const double reread =
@@ -208,7 +204,7 @@
                                const EngineOption &engine,
                                double usedShare) const {
   const double objective =
-      seconds(request.Route->Objective) * waitPart(usedShare);
+      inSeconds(request.Route->Objective) * waitPart(usedShare);
   const double own =
       static_cast<double>(request.Content.InputTokens - engine.CachedTokens) /
       prefillRate();
--- a/packages/routing/src/model.cpp
+++ b/packages/routing/src/model.cpp
@@ -4,6 +4,18 @@
 
 namespace nutmegsill::routing {
 
+const char *repeatabilityName(Repeatability kind) {
+  switch (kind) {
+  case Repeatability::Idempotent:
+    return "idempotent";
+  case Repeatability::AtMostOnce:
+    return "at_most_once";
+  case Repeatability::Stream:
+    return "stream";
+  }
+  return "unknown";
+}
+
 void ServiceConfig::index() {
   ByHost.clear();
   ByKey.clear();
--- a/packages/standins/src/local_fleet.cpp
+++ b/packages/standins/src/local_fleet.cpp
@@ -77,6 +77,7 @@
   ports.Callers = loopback();
   ports.Readiness = loopback();
   ports.Directory = loopback();
+  ports.Metrics = loopback();
   const json settings{
       {"gateway",
        {{"host", ports.Host},
@@ -85,7 +86,7 @@
         {"readiness", ports.Readiness},
         {"directory", ports.Directory},
         {"peer", loopback()},
-        {"metrics", loopback()},
+        {"metrics", ports.Metrics},
         {"descriptors", Descriptors}}},
       {"store", {{"address", StoreAddress}, {"shortest_lease_ms", 1000}}},
       {"bounds",
--- a/packages/standins/src/local_fleet.h
+++ b/packages/standins/src/local_fleet.h
@@ -22,6 +22,7 @@
   std::string Callers;
   std::string Readiness;
   std::string Directory;
+  std::string Metrics;
 };
 
 class LocalFleet {
