Kept connections to targets end before their I/O context

Cause: `Front` declared its I/O context after `Traffic`, so at the end of the process the context was destroyed before the connections that `UpstreamPool` keeps; their destructors then used its freed service. Ruled out: the stop's time limits (the process had logged "stopped"). Change: the context is declared first.

--- a/packages/gateway/src/front.h
+++ b/packages/gateway/src/front.h
@@ -60,9 +60,10 @@
   boost::asio::awaitable<void> waitIdle(Duration limit,
                                         std::function<void()> done);
 
+  /// Outlives all sockets, also those that `Parts` keeps.
+  boost::asio::io_context Io{1};
   Traffic Parts;
   Control &Peers;
-  boost::asio::io_context Io{1};
   boost::asio::ip::tcp::acceptor Port{Io};
   std::thread Thread;
 };
--- a/packages/gateway/test/gateway_faults_test.cpp
+++ b/packages/gateway/test/gateway_faults_test.cpp
@@ -177,6 +177,34 @@
   CHECK(kept <= 40);
 }
 
+TEST_CASE_METHOD(GatewayFaultsFixture,
+                 "gateway_stop_with_kept_connections_ends_cleanly") {
+  constexpr int routers = 6;
+  for (int i = 0; i < routers; ++i) {
+    startRouter();
+  }
+  std::vector<std::thread> callers;
+  for (const RouterPorts &it : Routers) {
+    for (int i = 0; i < 8; ++i) {
+      callers.emplace_back([&it, i] {
+        RawCall one;
+        one.Path = "/safe/a";
+        one.Id = it.Host + "-" + std::to_string(i);
+        RawCaller(it.Callers).call(one);
+      });
+    }
+  }
+  for (std::thread &it : callers) {
+    it.join();
+  }
+  for (const Process &it : Processes) {
+    it.signal(SIGTERM);
+  }
+  for (Process &it : Processes) {
+    CHECK(it.wait(std::chrono::seconds(8)) == 0);
+  }
+}
+
 TEST_CASE_METHOD(GatewayFaultsFixture,
                  "gateway_lost_answer_to_its_registration_is_found_again") {
   Store->loseAnswers(2);
