--- a/packages/soak/src/soak_checks.cpp
+++ b/packages/soak/src/soak_checks.cpp
@@ -67,7 +67,7 @@
     }
   }
   for (const std::string &it : faults.BadStops) {
-    out.push_back(it + " did not end cleanly after a planned stop");
+    out.push_back(it + " after a planned stop");
   }
   if (inCalm == 0 || served < ServedInCalm * inCalm) {
     out.push_back(std::to_string(served) + " of " + std::to_string(inCalm) +
--- a/packages/soak/src/soak_faults.cpp
+++ b/packages/soak/src/soak_faults.cpp
@@ -126,8 +126,12 @@
     Fleet.signal(router, SIGTERM);
     const SoakTime asked = now();
     Due[name] = {asked + StopLimit, [this, router, name] {
-                   if (Fleet.wait(router, milliseconds(0)) != 0) {
-                     Log.BadStops.push_back(name);
+                   const std::optional<int> code =
+                       Fleet.wait(router, milliseconds(0));
+                   if (code != 0) {
+                     Log.BadStops.push_back(
+                         name + (code ? " ended with " + std::to_string(*code)
+                                      : " still ran"));
                      Fleet.kill(router);
                    }
                    Fleet.restart(router);
--- a/packages/soak/src/soak_faults.h
+++ b/packages/soak/src/soak_faults.h
@@ -19,7 +19,7 @@
   std::vector<std::string> Lines;
   /// The temporary key was removed, until it was put back.
   std::vector<std::pair<SoakTime, std::optional<SoakTime>>> KeyGone;
-  /// Routers that did not end cleanly after a planned stop.
+  /// How routers that did not end cleanly after a planned stop did.
   std::vector<std::string> BadStops;
 };
 
