Soak: no stop of a process that is just starting; folders of their own

Change: a started router is left alone for 0.5 s; each fleet has a folder of its own; the platform's names stay in the stand-ins.

--- a/packages/simulation/src/run_history.cpp
+++ b/packages/simulation/src/run_history.cpp
@@ -155,6 +155,7 @@
   Violations out;
   std::vector<Time> calls;
   std::vector<Time> repeats;
+  calls.reserve(history.Calls.size());
   for (const CallRecord &it : history.Calls) {
     calls.push_back(it.At);
   }
--- a/packages/simulation/src/scenario.cpp
+++ b/packages/simulation/src/scenario.cpp
@@ -186,7 +186,9 @@
   std::string reason;
   const std::optional<StoreLink> link = StoreLink::create({}, reason);
   for (const auto &[state, event] : link->chart().steps()) {
-    out.push_back("store_link." + state + "." + event);
+    std::string step = "store_link.";
+    step.append(state).append(".").append(event);
+    out.push_back(std::move(step));
   }
   return out;
 }
--- a/packages/simulation/src/virtual_fleet.cpp
+++ b/packages/simulation/src/virtual_fleet.cpp
@@ -46,6 +46,7 @@
 
 std::vector<HostId> VirtualFleet::hosts() const {
   std::vector<HostId> out;
+  out.reserve(Routers.size());
   for (const auto &[host, router] : Routers) {
     out.push_back(host);
   }
@@ -54,6 +55,7 @@
 
 std::vector<TargetId> VirtualFleet::targets() const {
   std::vector<TargetId> out;
+  out.reserve(Targets.size());
   for (const auto &[id, target] : Targets) {
     out.push_back(id);
   }
--- a/packages/soak/src/soak_calls.cpp
+++ b/packages/soak/src/soak_calls.cpp
@@ -58,7 +58,7 @@
       std::this_thread::sleep_for(LongestPause);
       continue;
     }
-    const std::string router = routers[random() % routers.size()];
+    const std::string &router = routers[random() % routers.size()];
     standin::RawCaller connection(router);
     for (int i = 0; i < RequestsOfConnection && !Stopping; ++i) {
       SeenCall seen;
--- a/packages/soak/src/soak_faults.cpp
+++ b/packages/soak/src/soak_faults.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds LongestFault{2'000};
 /// Grace of the routers' settings, and time to notice the end.
 constexpr milliseconds StopLimit{7'000};
+/// A process that has not installed its handlers yet ends by the signal.
+constexpr milliseconds StartTime{500};
 constexpr const char *BothKeys = R"("key-prints","key-temporary")";
 constexpr const char *OneKey = R"("key-prints")";
 
@@ -100,7 +102,7 @@
   }
 
   bool busy(const std::string &name) const {
-    return Due.count(name) > 0 || Due.count(name + " frozen") > 0;
+    return Due.count(name) > 0 || Due.count(name + " held") > 0;
   }
   void freeze(std::size_t router, const std::string &name) {
     if (busy(name)) {
@@ -108,7 +110,7 @@
     }
     note(name + " frozen");
     Fleet.signal(router, SIGSTOP);
-    later(name + " frozen", [this, router] { Fleet.signal(router, SIGCONT); });
+    later(name + " held", [this, router] { Fleet.signal(router, SIGCONT); });
   }
   void killRouter(std::size_t router, const std::string &name) {
     if (busy(name)) {
@@ -116,7 +118,11 @@
     }
     note(name + " killed");
     Fleet.kill(router);
-    later(name, [this, router] { Fleet.restart(router); });
+    later(name, [this, router, name] { restart(router, name); });
+  }
+  void restart(std::size_t router, const std::string &name) {
+    Fleet.restart(router);
+    Due[name + " held"] = {now() + StartTime, [] {}};
   }
   void stopRouter(std::size_t router, const std::string &name) {
     if (busy(name)) {
@@ -134,7 +140,7 @@
                                       : " still ran"));
                      Fleet.kill(router);
                    }
-                   Fleet.restart(router);
+                   restart(router, name);
                  }};
   }
   void disturbStore() {
--- a/packages/soak/src/soak_fleet.cpp
+++ b/packages/soak/src/soak_fleet.cpp
@@ -53,13 +53,12 @@
   const std::vector<standin::WorkerStandin *> all = workers();
   for (std::size_t i = 0; i < all.size(); ++i) {
     const char *state = draining.count(i) > 0 ? "draining" : "ready";
-    Fleet.Store->put("servers/" + all[i]->id(),
-                     all[i]->entry(state, WorkerProxies[i]->address()));
+    Fleet.putWorker(*all[i], state, WorkerProxies[i]->address());
   }
 }
 
 void SoakFleet::putConfig(const std::string &keys) {
-  Fleet.Store->put("op/config", LocalFleet::configText(++Version, keys));
+  Fleet.putConfig(LocalFleet::configText(++Version, keys));
 }
 
 } // namespace nutmegsill::soak
--- a/packages/standins/src/local_fleet.cpp
+++ b/packages/standins/src/local_fleet.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <thread>
+#include <unistd.h>
 
 namespace nutmegsill::standin {
 
@@ -13,8 +14,10 @@
 
 LocalFleet::LocalFleet(std::string program)
     : Program(std::move(program)), StoreAddress(loopback()) {
+  static int fleets = 0;
   Folder = std::filesystem::temp_directory_path() /
-           ("nutmegsill-fleet-" + std::to_string(freePort()));
+           ("nutmegsill-fleet-" + std::to_string(getpid()) + "-" +
+            std::to_string(++fleets));
   std::filesystem::create_directories(Folder);
   Store = std::make_unique<StoreStandin>(StoreAddress);
   One = std::make_unique<WorkerStandin>("w-1", "desk", loopback());
@@ -58,8 +61,13 @@
 }
 
 void LocalFleet::putWorker(const WorkerStandin &worker,
-                           const std::string &state) {
-  Store->put("servers/" + worker.id(), worker.entry(state));
+                           const std::string &state,
+                           const std::string &address) {
+  Store->put("servers/" + worker.id(), worker.entry(state, address));
+}
+
+void LocalFleet::putConfig(const std::string &text) {
+  Store->put("op/config", text);
 }
 
 Process LocalFleet::launch(const std::string &host) const {
--- a/packages/standins/src/local_fleet.h
+++ b/packages/standins/src/local_fleet.h
@@ -38,8 +38,12 @@
   static std::string configText(std::uint64_t version,
                                 const std::string &keys = "\"key-prints\"",
                                 const std::string &buyPool = "desk");
+  /// Writes the worker's entry; `address` replaces its own.
   void putWorker(const WorkerStandin &worker,
-                 const std::string &state = "ready");
+                 const std::string &state = "ready",
+                 const std::string &address = "");
+  /// Writes a configuration as an operator.
+  void putConfig(const std::string &text);
   RawAnswer get(const std::string &address, const std::string &path);
   RawAnswer call(const std::string &path, const std::string &id,
                  const std::string &method = "POST");
