--- a/packages/gateway/test/gateway_faults_test.cpp
+++ b/packages/gateway/test/gateway_faults_test.cpp
@@ -15,6 +15,7 @@
   int runs(const std::string &id) const {
     return One->runs(id) + Two->runs(id);
   }
+  int LastCall = 0;
 };
 
 TEST_CASE_METHOD(GatewayFaultsFixture,
@@ -214,6 +215,37 @@
   CHECK(eventually([&] { return addresses(Routers[0]).size() == 1; }));
 }
 
+TEST_CASE_METHOD(GatewayFaultsFixture,
+                 "gateway_late_write_of_its_entry_leaves_one_that_lives") {
+  // The first attempt takes effect two seconds later, when the router has
+  // registered by another lease.
+  Store->delayWrites(1);
+  startRouter();
+  const auto registered = [&] {
+    return Store->keysUnder("nutmegsill/routers/").size() == 1;
+  };
+  CHECK(eventually(registered));
+  std::this_thread::sleep_for(std::chrono::milliseconds(5'500));
+  CHECK(registered());
+  CHECK(addresses(Routers[0]).size() == 1);
+}
+
+TEST_CASE_METHOD(GatewayFaultsFixture,
+                 "gateway_store_that_is_busy_is_called_again_and_found") {
+  startRouter();
+  Store->setMode(StoreMode::Busy);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'500));
+  Store->setMode(StoreMode::Serving);
+  putWorker(*One, "draining");
+  CHECK(eventually([&] {
+    const std::size_t before = One->seen().size();
+    for (int i = 0; i < 6; ++i) {
+      call("/safe/a", "busy-" + std::to_string(++LastCall));
+    }
+    return One->seen().size() == before;
+  }));
+}
+
 TEST_CASE_METHOD(GatewayFaultsFixture,
                  "gateway_dropped_history_is_replaced_by_a_listing") {
   startRouter();
--- a/packages/standins/src/store_standin.cpp
+++ b/packages/standins/src/store_standin.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds PollTime{5};
+/// After which a write takes effect that is not answered.
+constexpr std::chrono::seconds LateTime{2};
 constexpr std::chrono::seconds SilentTime{30};
 
 std::string query(const std::string &target, const std::string &name) {
@@ -130,8 +132,9 @@
     exchange.reset();
     co_return;
   }
-  if (Mode == StoreMode::Refusing) {
-    co_await exchange.answer(503, "application/json", "{}");
+  if (Mode == StoreMode::Refusing || Mode == StoreMode::Busy) {
+    const unsigned status = Mode == StoreMode::Busy ? 429 : 503;
+    co_await exchange.answer(status, "application/json", "{}");
     co_return;
   }
   const std::string target(exchange.Request.target());
@@ -141,6 +144,11 @@
     co_await watch(exchange, after, wait);
     co_return;
   }
+  const bool late = under(target, "/kv-txn") && LateWrites > 0;
+  if (late) {
+    --LateWrites;
+    co_await exchange.sleep(LateTime);
+  }
   unsigned status = 200;
   std::string body;
   {
@@ -148,6 +156,10 @@
     expireLeases();
     body = reply(exchange.Request, status);
   }
+  if (late) {
+    exchange.reset();
+    co_return;
+  }
   if (exchange.Request.method() == http::verb::post && LostAnswers > 0) {
     --LostAnswers;
     exchange.reset();
--- a/packages/standins/src/store_standin.h
+++ b/packages/standins/src/store_standin.h
@@ -17,7 +17,14 @@
 namespace nutmegsill::standin {
 
 /// How the store answers.
-enum class StoreMode { Serving, Silent, Refusing };
+enum class StoreMode {
+  Serving,
+  Silent,
+  /// Answers 503; nothing is done.
+  Refusing,
+  /// Answers 429, as beyond its limits of calls.
+  Busy,
+};
 
 /// Thread-safe; serves on a thread of its own.
 class StoreStandin {
@@ -36,6 +43,9 @@
   void dropHistory();
   /// The next writes take effect and are not answered.
   void loseAnswers(int count) { LostAnswers = count; }
+  /// The next writes take effect two seconds later, if their conditions still
+  /// hold, and are not answered.
+  void delayWrites(int count) { LateWrites = count; }
   std::uint64_t calls() const { return Calls; }
 
 private:
@@ -77,6 +87,7 @@
   std::uint64_t LastLease = 100;
   std::atomic<StoreMode> Mode{StoreMode::Serving};
   std::atomic<int> LostAnswers{0};
+  std::atomic<int> LateWrites{0};
   std::atomic<std::uint64_t> Calls{0};
   boost::asio::io_context Io{1};
   std::thread Thread;
