Remove what nothing calls in the stand-ins

Cause: runProgram served the operators' commands of the removed fleet, and ServerExchange::begin its targets.

--- a/packages/net/include/nutmegsill/base64.h
+++ b/packages/net/include/nutmegsill/base64.h
@@ -1,4 +1,4 @@
-/// Base64 as the etcd JSON form uses it.
+/// Standard base64 with padding.
 #pragma once
 
 #include <optional>
--- a/packages/standins/src/http_server.cpp
+++ b/packages/standins/src/http_server.cpp
@@ -38,20 +38,6 @@
   co_await answer(200, "application/json", std::move(body));
 }
 
-asio::awaitable<bool> ServerExchange::begin(unsigned status, std::string type) {
-  boost::system::error_code ec;
-  http::response<http::empty_body> response;
-  response.version(11);
-  response.result(status);
-  response.set(http::field::content_type, type);
-  response.chunked(true);
-  http::response_serializer<http::empty_body> serializer(response);
-  co_await http::async_write_header(
-      Stream, serializer, asio::redirect_error(asio::use_awaitable, ec));
-  Closed = Closed || ec;
-  co_return !ec;
-}
-
 asio::awaitable<bool> ServerExchange::chunk(std::string part) {
   boost::system::error_code ec;
   co_await asio::async_write(Stream, http::make_chunk(asio::buffer(part)),
--- a/packages/standins/src/http_server.h
+++ b/packages/standins/src/http_server.h
@@ -26,8 +26,7 @@
   boost::asio::awaitable<void> answer(unsigned status, std::string type,
                                       std::string body);
   boost::asio::awaitable<void> json(std::string body);
-  /// Starts a chunked answer.
-  boost::asio::awaitable<bool> begin(unsigned status, std::string type);
+  /// A part of a chunked answer.
   boost::asio::awaitable<bool> chunk(std::string part);
   boost::asio::awaitable<void> finish();
   /// Sends bytes as they are.
--- a/packages/standins/src/process.cpp
+++ b/packages/standins/src/process.cpp
@@ -1,6 +1,5 @@
 #include "process.h"
 
-#include <array>
 #include <csignal>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -96,36 +95,6 @@
   }
 }
 
-int runProgram(const std::string &program,
-               const std::vector<std::string> &arguments, std::string &output) {
-  std::array<int, 2> ends{};
-  if (pipe(ends.data()) != 0) {
-    return ExecFailed;
-  }
-  std::vector<std::string> all{program};
-  all.insert(all.end(), arguments.begin(), arguments.end());
-  const std::vector<char *> pointers = argumentPointers(all);
-  const int id = fork();
-  if (id == 0) {
-    dup2(ends[1], STDOUT_FILENO);
-    dup2(ends[1], STDERR_FILENO);
-    close(ends[0]);
-    close(ends[1]);
-    execv(program.c_str(), pointers.data());
-    _exit(ExecFailed);
-  }
-  close(ends[1]);
-  std::array<char, 4096> buf{};
-  ssize_t n = 0;
-  while ((n = read(ends[0], buf.data(), buf.size())) > 0) {
-    output.append(buf.data(), static_cast<std::size_t>(n));
-  }
-  close(ends[0]);
-  int status = 0;
-  waitpid(id, &status, 0);
-  return exitCode(status);
-}
-
 namespace {
 
 bool canBind(unsigned port) {
--- a/packages/standins/src/process.h
+++ b/packages/standins/src/process.h
@@ -32,10 +32,6 @@
   int Id = -1;
 };
 
-/// Runs a program to its end; returns its exit code and output.
-int runProgram(const std::string &program,
-               const std::vector<std::string> &arguments, std::string &output);
-
 /// A TCP port of the loopback address that was free a moment ago and that no
 /// outgoing connection takes.
 unsigned freePort();
