Share the reading of the store among the routers of a group

Cause: every router checked the store's revision each 1.8 s and held a watch of its own, so each change and each interval cost a call for each router.

Change: two routers of a report group read the store. They relay the changes that their watches return and prove to the others, with stamps of the others' own clocks that they held before the read was sent, which revision was current when. A router without two readers before it, or whose knowledge is 2.4 s old, reads by itself; changes that were not relayed are read after the next proof. Messages between routers get an envelope (PeerMessage).

--- a/packages/gateway/src/control_server.cpp
+++ b/packages/gateway/src/control_server.cpp
@@ -1,6 +1,5 @@
 #include "control_server.h"
 
-#include "load_codec.h"
 #include "log.h"
 #include "nutmegsill/platform/directory.h"
 #include "nutmegsill/platform/engine.h"
@@ -35,7 +34,6 @@
 constexpr int MaxQueuedPeerMessages = 4;
 constexpr milliseconds PeerHeartbeatInterval{1'000};
 constexpr milliseconds PeerHeartbeatTimeout{2'000};
-constexpr const char *LoadReportType = "load_report";
 
 /// Timeout of the query for the prompt parts that an engine has cached.
 constexpr milliseconds CacheQueryTimeout{700};
@@ -76,9 +74,9 @@
   std::unique_ptr<ControlServer> server(
       new ControlServer(settings, metrics, shared));
   ControlServer *self = server.get();
-  server->Watcher =
-      StoreWatcher::create(server->Io, settings.Host, settings.StoreEndpoint,
-                           metrics, shared, reason);
+  server->Watcher = StoreWatcher::create(
+      server->Io, Instance{settings.Host, server->OwnIncarnation},
+      settings.StoreEndpoint, metrics, shared, reason);
   if (!server->Watcher) {
     return nullptr;
   }
@@ -106,16 +104,24 @@
   server->Peers = PeerSocket::open(
       server->Io, std::move(options), metrics,
       [self](const Instance &from, std::string_view bytes) {
-        self->receiveLoadReport(from, bytes);
+        self->receiveMessage(from, bytes);
       },
       reason);
   return server->Peers ? std::move(server) : nullptr;
 }
 
 void ControlServer::run() {
-  Watcher->start([this](std::shared_ptr<const FleetView> view) {
+  StoreWatcherHandlers handlers;
+  handlers.OnView = [this](std::shared_ptr<const FleetView> view) {
     setView(std::move(view));
-  });
+  };
+  handlers.SendToGroup = [this](const PeerMessage &message) {
+    sendToPeers(GroupPeers, message);
+  };
+  handlers.SendToPeer = [this](const HostId &peer, const PeerMessage &message) {
+    sendToPeers({peer}, message);
+  };
+  Watcher->start(std::move(handlers));
   OwnRegistration->start();
   spawn(Io, queryEngineCaches());
   spawn(Io,
@@ -149,6 +155,8 @@
     }
   }
   Peers->setPeers(peers);
+  Watcher->setGroup(recipients.GroupPeers);
+  GroupPeers = recipients.GroupPeers;
 }
 
 bool ControlServer::queriesCacheOf(const TargetId &target) const {
@@ -212,39 +220,50 @@
   OwnRegistration->stop();
 }
 
+void ControlServer::sendToPeers(const std::vector<HostId> &peers,
+                                const PeerMessage &message) {
+  if (peers.empty()) {
+    return;
+  }
+  const std::string bytes = encodePeerMessage(message);
+  for (const HostId &it : peers) {
+    Peers->send(it, peerMessageName(message), bytes);
+  }
+}
+
 void ControlServer::sendLoadReports(OutgoingReports reports) {
-  asio::post(Io, [this, reports = std::move(reports)] {
-    const std::string ownReport = encodeLoad(reports.OwnReport);
-    for (const HostId &it : reports.Recipients.GroupPeers) {
-      Peers->send(it, LoadReportType, ownReport);
-    }
-    if (!reports.Recipients.RemotePeers.empty()) {
-      const std::string groupReport = encodeLoad(reports.GroupReport);
-      for (const HostId &it : reports.Recipients.RemotePeers) {
-        Peers->send(it, LoadReportType, groupReport);
-      }
-    }
+  asio::post(Io, [this, reports = std::move(reports)]() mutable {
+    sendToPeers(reports.Recipients.GroupPeers,
+                PeerMessage(std::move(reports.OwnReport)));
+    sendToPeers(reports.Recipients.RemotePeers,
+                PeerMessage(std::move(reports.GroupReport)));
     // Receives messages that arrived while an event of the socket was being
     // handled: they raise no further event.
     Peers->receivePending();
   });
 }
 
-void ControlServer::receiveLoadReport(const Instance &from,
-                                      std::string_view bytes) {
-  std::optional<LoadReport> report = decodeLoad(bytes);
-  if (!report) {
+void ControlServer::receiveMessage(const Instance &from,
+                                   std::string_view bytes) {
+  std::optional<PeerMessage> message = decodePeerMessage(bytes);
+  if (!message) {
     Counters.countDroppedPeerMessage("malformed");
     return;
   }
-  Counters.countPeerMessage(LoadReportType, "received", bytes.size());
+  Counters.countPeerMessage(peerMessageName(*message), "received",
+                            bytes.size());
+  LastReportAt[from.Host] = bootTimeNow();
+  std::visit([this, &from](auto &it) { receive(from, std::move(it)); },
+             *message);
+}
+
+void ControlServer::receive(const Instance &from, LoadReport report) {
   const Time now = bootTimeNow();
-  LastReportAt[from.Host] = now;
-  for (const HostId &it : report->IncludedHosts) {
+  for (const HostId &it : report.IncludedHosts) {
     LastReportAt[it] = now;
   }
   if (OnLoadReport) {
-    OnLoadReport(from.Host, std::move(*report));
+    OnLoadReport(from.Host, std::move(report));
   }
 }
 
--- a/packages/gateway/src/control_server.h
+++ b/packages/gateway/src/control_server.h
@@ -63,7 +63,15 @@
   boost::asio::awaitable<void> queryEngineCache(TargetId target,
                                                 std::string address);
   bool queriesCacheOf(const TargetId &target) const;
-  void receiveLoadReport(const Instance &from, std::string_view bytes);
+  void receiveMessage(const Instance &from, std::string_view bytes);
+  void receive(const Instance &from, routing::LoadReport report);
+  /// Messages about the store.
+  template <class Message>
+  void receive(const Instance &from, const Message &message) {
+    Watcher->receive(from, message);
+  }
+  void sendToPeers(const std::vector<HostId> &peers,
+                   const PeerMessage &message);
   JsonResponse handleDirectoryRequest(std::string_view requestTarget) const;
   JsonResponse handleReadinessRequest(std::string_view requestTarget) const;
   std::vector<std::string> addressesForZone(const ZoneId &zone) const;
@@ -79,6 +87,8 @@
   std::optional<Registration> OwnRegistration;
   HttpClient EngineClient;
   std::unique_ptr<PeerSocket> Peers;
+  /// The other routers of this router's group.
+  std::vector<HostId> GroupPeers;
   LoadReportHandler OnLoadReport;
   /// Time of the last report from each router, received directly or included in
   /// the report of a router in its group.
--- /dev/null
+++ b/packages/gateway/src/peer_codec.cpp
@@ -0,0 +1,160 @@
+#include "peer_codec.h"
+
+#include "load.pb.h"
+
+#include <cmath>
+
+namespace nutmegsill::gateway {
+
+namespace {
+
+void encode(const routing::LoadReport &report, wire::PeerMessage &message) {
+  wire::LoadReport &out = *message.mutable_load();
+  for (const routing::TargetLoad &it : report.Targets) {
+    wire::TargetLoad *entry = out.add_targets();
+    entry->set_target(it.Target.Text);
+    entry->set_prefill_tokens(it.PrefillTokens);
+    entry->set_running(it.RunningRequests);
+  }
+  for (const routing::TeamTraffic &it : report.Teams) {
+    wire::TeamTraffic *entry = out.add_teams();
+    entry->set_team(it.Team.Text);
+    entry->set_asked(static_cast<float>(it.Rate.Requested));
+    entry->set_served(static_cast<float>(it.Rate.Served));
+  }
+  for (const routing::SentPrompts &it : report.PromptsSent) {
+    wire::SentPrompts *entry = out.add_sent();
+    entry->set_target(it.Target.Text);
+    entry->set_tokens(it.PrefillTokens);
+    entry->mutable_parts()->Add(it.Parts.begin(), it.Parts.end());
+  }
+  for (const HostId &it : report.IncludedHosts) {
+    out.add_hosts(it.Text);
+  }
+}
+
+void encode(const routing::RelayedChanges &changes,
+            wire::PeerMessage &message) {
+  wire::StoreChanges &out = *message.mutable_changes();
+  out.set_after_revision(changes.After.Value);
+  out.set_revision(changes.Revision.Value);
+  out.set_outage_grace_ms(
+      static_cast<std::uint32_t>(toMilliseconds(changes.OutageGrace)));
+  for (const routing::StoredItem &it : changes.Items) {
+    wire::StoreItem *entry = out.add_items();
+    entry->set_key(it.Key);
+    if (it.Value) {
+      entry->set_value(*it.Value);
+    }
+  }
+}
+
+void encode(const routing::StoreProof &proof, wire::PeerMessage &message) {
+  wire::StoreProof &out = *message.mutable_proof();
+  out.set_revision(proof.Revision.Value);
+  for (const routing::StampEcho &it : proof.Stamps) {
+    wire::StampEcho *entry = out.add_stamps();
+    entry->set_host(it.Router.Host.Text);
+    entry->set_incarnation(it.Router.Incarnation.Value);
+    entry->set_stamp_us(it.Stamp.time_since_epoch().count());
+  }
+}
+
+void encode(const ClockStamp &stamp, wire::PeerMessage &message) {
+  message.mutable_stamp()->set_stamp_us(stamp.Stamp.time_since_epoch().count());
+}
+
+std::optional<PeerMessage> decode(const wire::LoadReport &in) {
+  routing::LoadReport report;
+  for (const wire::TargetLoad &it : in.targets()) {
+    report.Targets.push_back(
+        {TargetId{it.target()}, it.prefill_tokens(), it.running()});
+  }
+  for (const wire::TeamTraffic &it : in.teams()) {
+    const routing::TeamRate rate{it.asked(), it.served()};
+    const bool valid = std::isfinite(rate.Requested) && rate.Requested >= 0 &&
+                       std::isfinite(rate.Served) && rate.Served >= 0;
+    if (!valid) {
+      return std::nullopt;
+    }
+    report.Teams.push_back({TeamId{it.team()}, rate});
+  }
+  for (const wire::SentPrompts &it : in.sent()) {
+    report.PromptsSent.push_back({TargetId{it.target()},
+                                  it.tokens(),
+                                  {it.parts().begin(), it.parts().end()}});
+  }
+  for (const std::string &it : in.hosts()) {
+    report.IncludedHosts.push_back(HostId{it});
+  }
+  return report;
+}
+
+PeerMessage decode(const wire::StoreChanges &in) {
+  routing::RelayedChanges changes;
+  changes.After = routing::StoreRevision{in.after_revision()};
+  changes.Revision = routing::StoreRevision{in.revision()};
+  changes.OutageGrace = milliseconds(in.outage_grace_ms());
+  for (const wire::StoreItem &it : in.items()) {
+    changes.Items.push_back(
+        {it.key(), it.has_value() ? std::optional(it.value()) : std::nullopt});
+  }
+  return changes;
+}
+
+PeerMessage decode(const wire::StoreProof &in) {
+  routing::StoreProof proof;
+  proof.Revision = routing::StoreRevision{in.revision()};
+  for (const wire::StampEcho &it : in.stamps()) {
+    proof.Stamps.push_back(
+        {Instance{HostId{it.host()}, IncarnationId{it.incarnation()}},
+         Time(Duration(it.stamp_us()))});
+  }
+  return proof;
+}
+
+} // namespace
+
+const char *peerMessageName(const PeerMessage &message) {
+  struct Name {
+    const char *operator()(const routing::LoadReport &) const {
+      return "load_report";
+    }
+    const char *operator()(const routing::RelayedChanges &) const {
+      return "store_changes";
+    }
+    const char *operator()(const routing::StoreProof &) const {
+      return "store_proof";
+    }
+    const char *operator()(const ClockStamp &) const { return "clock_stamp"; }
+  };
+  return std::visit(Name{}, message);
+}
+
+std::string encodePeerMessage(const PeerMessage &message) {
+  wire::PeerMessage out;
+  std::visit([&out](const auto &it) { encode(it, out); }, message);
+  return out.SerializeAsString();
+}
+
+std::optional<PeerMessage> decodePeerMessage(std::string_view bytes) {
+  wire::PeerMessage in;
+  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return std::nullopt;
+  }
+  switch (in.content_case()) {
+  case wire::PeerMessage::kLoad:
+    return decode(in.load());
+  case wire::PeerMessage::kChanges:
+    return decode(in.changes());
+  case wire::PeerMessage::kProof:
+    return decode(in.proof());
+  case wire::PeerMessage::kStamp:
+    return ClockStamp{Time(Duration(in.stamp().stamp_us()))};
+  case wire::PeerMessage::CONTENT_NOT_SET:
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+} // namespace nutmegsill::gateway
--- a/packages/gateway/src/store_watcher.cpp
+++ b/packages/gateway/src/store_watcher.cpp
@@ -1,6 +1,7 @@
 #include "store_watcher.h"
 
 #include "log.h"
+#include "nutmegsill/platform/items.h"
 #include "spawn.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -17,7 +18,7 @@
 /// Timeout of a call to the store, which responds within milliseconds.
 constexpr milliseconds StoreCallTimeout{700};
 /// Delay before the next watch, per router of the fleet. Changes are collected
-/// during the delay, since every change ends one watch of every router.
+/// during the delay, since every change ends one watch of every reader.
 constexpr milliseconds WatchDelayPerRouter{10};
 /// Upper bound of that delay: a configuration must be applied within 2 s of its
 /// acceptance.
@@ -27,6 +28,11 @@
 constexpr milliseconds MaxReachabilityWait{1'500};
 constexpr milliseconds ReachabilityPollInterval{50};
 constexpr milliseconds ExpiryInterval{200};
+/// Interval at which a router looks whether it has to read the store.
+constexpr milliseconds RoleCheckInterval{200};
+/// Changes with more bytes than this are not relayed; each router reads them
+/// from the store, which has the larger link.
+constexpr std::size_t MaxRelayedBytes = 64U << 10U;
 
 } // namespace
 
@@ -36,15 +42,16 @@
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
 
-StoreWatcher::StoreWatcher(asio::io_context &io, const HostId &self,
+StoreWatcher::StoreWatcher(asio::io_context &io, const Instance &self,
                            Endpoint store, Metrics &metrics,
                            SharedState &shared, StoreLink link)
     : Io(io), Counters(metrics), Shared(shared),
       Store(std::move(store), StoreCallTimeout), Link(std::move(link)),
-      State(self, {}) {}
+      State(self.Host, {}), Sharing(self, {}),
+      Random(static_cast<std::uint32_t>(self.Incarnation.Value) | 1U) {}
 
 std::unique_ptr<StoreWatcher>
-StoreWatcher::create(asio::io_context &io, const HostId &self, Endpoint store,
+StoreWatcher::create(asio::io_context &io, const Instance &self, Endpoint store,
                      Metrics &metrics, SharedState &shared,
                      std::string &reason) {
   std::optional<StoreLink> link = StoreLink::create({}, reason);
@@ -55,8 +62,8 @@
       io, self, std::move(store), metrics, shared, std::move(*link)));
 }
 
-void StoreWatcher::start(ViewHandler onChange) {
-  OnViewChanged = std::move(onChange);
+void StoreWatcher::start(StoreWatcherHandlers handlers) {
+  Handlers = std::move(handlers);
   spawn(Io, runWatchLoop());
   spawn(Io, runCheckLoop());
   spawn(Io, runExpiryLoop());
@@ -77,7 +84,8 @@
            {"reason", reason}});
   const bool unavailable = *failure == platform::StoreFailure::NoAnswer ||
                            *failure == platform::StoreFailure::Refused;
-  if (unavailable) {
+  // A store that other routers have just read turns away only this one.
+  if (unavailable && readsStore()) {
     State.recordStoreFailure(bootTimeNow());
   }
 }
@@ -90,12 +98,27 @@
 }
 
 asio::awaitable<void> StoreWatcher::runWatchLoop() {
+  bool wasReading = false;
   for (;;) {
+    const bool reading = readsStore();
+    if (reading != wasReading) {
+      logLine("store", reading ? "reading" : "following",
+              {{"known", std::to_string(Link.revision().Value)}});
+      wasReading = reading;
+    }
+    if (!reading) {
+      co_await sleepFor(Io, RoleCheckInterval);
+      continue;
+    }
     const StoreCall call = Link.nextCall();
     if (const BackoffCall *it = std::get_if<BackoffCall>(&call)) {
-      co_await sleepFor(Io, it->Delay);
+      co_await sleepFor(Io, failureDelay(it->Delay));
     } else if (const WatchCall *it = std::get_if<WatchCall>(&call)) {
-      co_await watchChanges(*it);
+      const bool hasChanges = co_await watchChanges(*it);
+      publishView();
+      if (hasChanges) {
+        co_await sleepFor(Io, watchDelay());
+      }
     } else {
       co_await listItems();
     }
@@ -138,7 +161,17 @@
   return std::min<Duration>(MaxWatchDelay, WatchDelayPerRouter * routers);
 }
 
-asio::awaitable<void> StoreWatcher::watchChanges(WatchCall call) {
+Duration StoreWatcher::failureDelay(Duration backoff) {
+  if (Sharing.isPrimaryReader()) {
+    return backoff;
+  }
+  const Duration base = Link.policy().StandInBackoff;
+  std::uniform_int_distribution<std::int64_t> extra(0, base.count());
+  return base + Duration(extra(Random));
+}
+
+/// Returns whether there were changes.
+asio::awaitable<bool> StoreWatcher::watchChanges(WatchCall call) {
   platform::StoreResult<platform::StoreChanges> changes = co_await Store.watch(
       call.AfterRevision, call.MaxWait, Link.policy().ResponseMargin);
   recordCall("watch", changes);
@@ -148,28 +181,92 @@
     } else {
       Link.recordFailure();
     }
-    co_return;
-  }
-  if (Link.revision() > call.AfterRevision) {
-    // A listing during this watch has advanced the revision; the next watch
-    // returns the changes after it.
-    co_return;
+    co_return false;
   }
-  const bool hasChanges = !changes.Ok->Updates.empty();
+  const bool outdated = Link.revision() >= changes.Ok->Revision;
   Link.recordWatch(changes.Ok->Revision);
-  for (const StoreUpdate &update : changes.Ok->Updates) {
-    State.applyUpdate(update, bootTimeNow());
+  if (outdated || changes.Ok->Items.empty()) {
+    co_return false;
   }
-  if (hasChanges) {
+  // If a listing or a relay has advanced the revision since, some changes are
+  // applied again; the last of each item still comes last.
+  applyItems(changes.Ok->Items);
+  if (readsStore()) {
+    relay({call.AfterRevision, changes.Ok->Revision,
+           State.outageGrace(bootTimeNow()), std::move(changes.Ok->Items)});
+  }
+  co_return true;
+}
+
+void StoreWatcher::applyItems(const std::vector<StoredItem> &items) {
+  for (const StoredItem &it : items) {
+    State.applyUpdate(platform::decodeItem(it.Key, it.Value), bootTimeNow());
+  }
+}
+
+void StoreWatcher::relay(RelayedChanges changes) const {
+  std::size_t bytes = 0;
+  for (const StoredItem &it : changes.Items) {
+    bytes += it.Key.size() + (it.Value ? it.Value->size() : 0);
+  }
+  if (bytes <= MaxRelayedBytes) {
+    Handlers.SendToGroup(PeerMessage(std::move(changes)));
+  }
+}
+
+void StoreWatcher::receive(const Instance & /*from*/,
+                           const RelayedChanges &changes) {
+  const bool known = changes.Revision <= Link.revision();
+  // Changes that are missing before these are read after the next proof.
+  if (known || !Link.recordRelayed(changes.After, changes.Revision)) {
+    return;
+  }
+  State.extendOutageGrace(changes.OutageGrace, bootTimeNow());
+  applyItems(changes.Items);
+  publishView();
+}
+
+void StoreWatcher::receive(const Instance &from, const StoreProof &proof) {
+  const Time now = bootTimeNow();
+  const std::optional<Time> knownAsOf =
+      Sharing.recordProof(from.Host, proof, now);
+  Handlers.SendToPeer(from.Host, ClockStamp{now});
+  if (!knownAsOf) {
+    return;
+  }
+  State.recordStoreSuccess(now);
+  if (Link.confirmRevision(proof.Revision, *knownAsOf)) {
     publishView();
-    co_await sleepFor(Io, watchDelay());
+  } else if (!CatchingUp && !readsStore()) {
+    CatchingUp = true;
+    spawn(Io, catchUp(proof.Revision, *knownAsOf));
+  }
+}
+
+void StoreWatcher::receive(const Instance &from, const ClockStamp &stamp) {
+  Sharing.recordStamp(from, stamp.Stamp);
+}
+
+/// Reads the changes up to `revision` that were not relayed.
+asio::awaitable<void> StoreWatcher::catchUp(StoreRevision revision,
+                                            Time knownAsOf) {
+  logLine("store", "catching_up",
+          {{"known", std::to_string(Link.revision().Value)},
+           {"store", std::to_string(revision.Value)}});
+  co_await watchChanges(WatchCall{Link.revision(), Link.policy().MaxProbeWait});
+  if (!Link.confirmRevision(revision, knownAsOf)) {
+    co_await listItems();
   }
+  CatchingUp = false;
+  publishView();
 }
 
 asio::awaitable<void> StoreWatcher::runCheckLoop() {
+  Time nextCheckAt = bootTimeNow();
   for (;;) {
-    co_await sleepFor(Io, Link.policy().RevisionCheckInterval);
-    if (Link.currentAsOf()) {
+    co_await sleepFor(Io, RoleCheckInterval);
+    if (bootTimeNow() >= nextCheckAt && Link.currentAsOf() && readsStore()) {
+      nextCheckAt = bootTimeNow() + Link.policy().RevisionCheckInterval;
       co_await checkForMissedChanges();
       publishView();
     }
@@ -178,28 +275,34 @@
 
 asio::awaitable<void> StoreWatcher::checkForMissedChanges() {
   Duration backoff = Link.policy().InitialBackoff;
-  for (;;) {
+  while (readsStore()) {
+    // Taken before the read: the proof holds for the time of each stamp.
+    StoreProof proof;
+    proof.Stamps = Sharing.stamps();
     const Time sentAt = bootTimeNow();
     const platform::StoreResult<StoreRevision> revision =
         co_await Store.readRevision();
     recordCall("check", revision);
     if (!revision.Ok) {
-      co_await sleepFor(Io, backoff);
+      co_await sleepFor(Io, failureDelay(backoff));
       backoff = std::min(Link.policy().MaxBackoff, backoff * 2);
       co_await waitUntilReachable();
       continue;
     }
-    if (Link.confirmRevision(*revision.Ok, sentAt)) {
-      co_return;
+    proof.Revision = *revision.Ok;
+    if (!Link.confirmRevision(*revision.Ok, sentAt)) {
+      // The change may still arrive with the next watch.
+      co_await sleepFor(Io, Link.policy().WatchLagTolerance + watchDelay());
     }
-    // The change may still arrive with the next watch.
-    co_await sleepFor(Io, Link.policy().WatchLagTolerance + watchDelay());
     if (!Link.confirmRevision(*revision.Ok, sentAt)) {
       logLine("store", "change_missed",
               {{"known", std::to_string(Link.revision().Value)},
                {"store", std::to_string(revision.Ok->Value)}});
       co_await listItems();
     }
+    if (Link.confirmRevision(*revision.Ok, sentAt)) {
+      Handlers.SendToGroup(PeerMessage(std::move(proof)));
+    }
     co_return;
   }
 }
@@ -229,7 +332,7 @@
     return;
   }
   View = newest;
-  OnViewChanged(View);
+  Handlers.OnView(View);
   Shared.setView(std::move(newest));
 }
 
--- /dev/null
+++ b/packages/gateway/test/peer_codec_test.cpp
@@ -0,0 +1,104 @@
+#include "peer_codec.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+namespace nutmegsill::gateway {
+
+class PeerCodecFixture {
+protected:
+  /// Encodes and decodes a message; nothing if the result is of another kind.
+  template <class Message>
+  static std::optional<Message> roundTrip(const Message &message) {
+    const std::optional<PeerMessage> decoded =
+        decodePeerMessage(encodePeerMessage(message));
+    const Message *it = decoded ? std::get_if<Message>(&*decoded) : nullptr;
+    return it == nullptr ? std::nullopt : std::optional<Message>(*it);
+  }
+};
+
+TEST_CASE_METHOD(PeerCodecFixture, "peer_codec_any_report_round_trips") {
+  const bool passed = rc::check([](const std::vector<std::uint64_t> &numbers) {
+    routing::LoadReport report;
+    for (const std::uint64_t it : numbers) {
+      const std::string name = "x-" + std::to_string(it);
+      report.Targets.push_back(
+          {TargetId{name}, it, static_cast<std::uint32_t>(it & 0xffffU)});
+      report.PromptsSent.push_back({TargetId{name}, it, numbers});
+      report.IncludedHosts.push_back(HostId{name});
+      report.Teams.push_back({TeamId{name}, {1.5, 0.5}});
+    }
+    const std::optional<routing::LoadReport> decoded = roundTrip(report);
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(decoded->Targets.size() == numbers.size());
+    for (std::size_t i = 0; i < numbers.size(); ++i) {
+      RC_ASSERT(decoded->Targets[i].Target == report.Targets[i].Target);
+      RC_ASSERT(decoded->Targets[i].PrefillTokens == numbers[i]);
+      RC_ASSERT(decoded->Targets[i].RunningRequests ==
+                report.Targets[i].RunningRequests);
+      RC_ASSERT(decoded->PromptsSent[i].PrefillTokens == numbers[i]);
+      RC_ASSERT(decoded->PromptsSent[i].Parts == numbers);
+      RC_ASSERT(decoded->IncludedHosts[i] == report.IncludedHosts[i]);
+      RC_ASSERT(decoded->Teams[i].Rate.Requested == 1.5);
+    }
+  });
+  CHECK(passed);
+}
+
+TEST_CASE_METHOD(PeerCodecFixture,
+                 "peer_codec_any_bytes_are_decoded_or_rejected") {
+  const bool passed = rc::check([](const std::string &bytes) {
+    const std::optional<PeerMessage> message = decodePeerMessage(bytes);
+    const routing::LoadReport *report =
+        message ? std::get_if<routing::LoadReport>(&*message) : nullptr;
+    if (report == nullptr) {
+      return;
+    }
+    for (const routing::TeamTraffic &it : report->Teams) {
+      RC_ASSERT(it.Rate.Requested >= 0);
+    }
+  });
+  CHECK(passed);
+}
+
+TEST_CASE_METHOD(PeerCodecFixture, "peer_codec_negative_rate_is_rejected") {
+  routing::LoadReport report;
+  report.Teams = {{TeamId{"t"}, {-1, 0}}};
+  CHECK_FALSE(roundTrip(report));
+}
+
+TEST_CASE_METHOD(PeerCodecFixture, "peer_codec_store_messages_round_trip") {
+  routing::RelayedChanges changes;
+  changes.After = routing::StoreRevision{7};
+  changes.Revision = routing::StoreRevision{9};
+  changes.OutageGrace = milliseconds(1'200);
+  changes.Items = {{"written", std::string("a\0b", 3)},
+                   {"empty", std::string()},
+                   {"deleted", std::nullopt}};
+  const std::optional<routing::RelayedChanges> relayed = roundTrip(changes);
+  REQUIRE(relayed);
+  CHECK(relayed->After == changes.After);
+  CHECK(relayed->Revision == changes.Revision);
+  CHECK(relayed->OutageGrace == changes.OutageGrace);
+  REQUIRE(relayed->Items.size() == 3);
+  CHECK(relayed->Items[0].Value == changes.Items[0].Value);
+  CHECK(relayed->Items[1].Value == changes.Items[1].Value);
+  CHECK_FALSE(relayed->Items[2].Value);
+
+  routing::StoreProof proof;
+  proof.Revision = routing::StoreRevision{9};
+  proof.Stamps = {{Instance{HostId{"host-1"}, IncarnationId{5}},
+                   Time(milliseconds(12'345))}};
+  const std::optional<routing::StoreProof> proved = roundTrip(proof);
+  REQUIRE(proved);
+  REQUIRE(proved->Stamps.size() == 1);
+  CHECK(proved->Stamps[0].Router == proof.Stamps[0].Router);
+  CHECK(proved->Stamps[0].Stamp == proof.Stamps[0].Stamp);
+
+  const std::optional<ClockStamp> stamp =
+      roundTrip(ClockStamp{Time(milliseconds(77))});
+  REQUIRE(stamp);
+  CHECK(stamp->Stamp == Time(milliseconds(77)));
+}
+
+} // namespace nutmegsill::gateway
--- a/packages/routing/include/nutmegsill/routing/fleet_state.h
+++ b/packages/routing/include/nutmegsill/routing/fleet_state.h
@@ -38,6 +38,10 @@
   /// Records whether the store responded to a call.
   void recordStoreSuccess(Time now);
   void recordStoreFailure(Time now);
+  /// Adopts the grace period of a router that has seen the end of an outage.
+  void extendOutageGrace(Duration remaining, Time now);
+  /// Remaining time of the grace period after an outage; 0 if there is none.
+  Duration outageGrace(Time now) const;
   /// Removes entries whose grace period has ended; returns whether any were
   /// removed. Removes none while calls to the store fail.
   bool expire(Time now);
--- a/packages/routing/include/nutmegsill/routing/store_link.h
+++ b/packages/routing/include/nutmegsill/routing/store_link.h
@@ -23,14 +23,19 @@
   /// Time in addition to the wait of a watch after which the call is treated as
   /// failed.
   Duration ResponseMargin = milliseconds(600);
-  /// Interval of the checks for missed changes: well under the maximum age of a
-  /// configuration (`AdmissionPolicy::MaxConfigAgeFraction`).
-  Duration RevisionCheckInterval = milliseconds(1'800);
+  /// Interval of the checks for missed changes: a quarter of the maximum age of
+  /// a configuration (`AdmissionPolicy::MaxConfigAgeFraction`), as the proofs
+  /// for other routers are up to two intervals old.
+  Duration RevisionCheckInterval = milliseconds(800);
   /// Time that a change may take to arrive by the watch before it is treated as
   /// missed.
   Duration WatchLagTolerance = milliseconds(150);
   Duration InitialBackoff = milliseconds(100);
   Duration MaxBackoff = milliseconds(400);
+  /// Delay after a failed call of a router that only stands in for the readers
+  /// of its group, up to twice as long: the readers find the store's return,
+  /// and hundreds of routers must not call a store that is away.
+  Duration StandInBackoff = milliseconds(1'000);
 };
 
 struct ListCall {};
@@ -59,6 +64,9 @@
   /// Records the response of a watch without advancing `currentAsOf`: a watch
   /// may stay silent for seconds while the store discards its history.
   void recordWatch(StoreRevision storeRevision);
+  /// Records changes that another router has relayed; returns false if changes
+  /// before them are missing.
+  bool recordRelayed(StoreRevision after, StoreRevision storeRevision);
   /// Records that a read sent at `sentAt` found the store at `storeRevision`.
   /// Returns false if changes up to that revision have not been received yet.
   bool confirmRevision(StoreRevision storeRevision, Time sentAt);
--- a/packages/routing/src/fleet_state.cpp
+++ b/packages/routing/src/fleet_state.cpp
@@ -55,6 +55,15 @@
   }
 }
 
+void FleetState::extendOutageGrace(Duration remaining, Time now) {
+  OutageGraceEnd = std::max(OutageGraceEnd,
+                            now + std::min(remaining, Policy.LeaseExpiryGrace));
+}
+
+Duration FleetState::outageGrace(Time now) const {
+  return std::max<Duration>(Duration{0}, OutageGraceEnd - now);
+}
+
 bool FleetState::isInOutageGrace(Time now) const {
   const bool outage =
       FailingSince && now - *FailingSince >= Policy.OutageThreshold;
--- a/packages/routing/src/store_link.cpp
+++ b/packages/routing/src/store_link.cpp
@@ -59,6 +59,15 @@
   CurrentBackoff = Duration{0};
 }
 
+bool StoreLink::recordRelayed(StoreRevision after,
+                              StoreRevision storeRevision) {
+  if (State != "watching" || Revision < after) {
+    return false;
+  }
+  Revision = std::max(Revision, storeRevision);
+  return true;
+}
+
 bool StoreLink::confirmRevision(StoreRevision storeRevision, Time sentAt) {
   if (Revision < storeRevision) {
     return false;
