--- a/packages/core/include/nutmegsill/rendezvous.h
+++ b/packages/core/include/nutmegsill/rendezvous.h
@@ -4,6 +4,7 @@
 #include "nutmegsill/types.h"
 
 #include <string>
+#include <string_view>
 
 namespace nutmegsill {
 
@@ -11,4 +12,8 @@
 /// preferred for the key.
 std::uint64_t rendezvousWeight(const HostId &host, const std::string &key);
 
+/// The part of `rendezvousWeight` that depends on the member of the set only.
+std::uint64_t rendezvousSeed(std::string_view member);
+std::uint64_t rendezvousWeight(std::uint64_t seed, std::uint64_t key);
+
 } // namespace nutmegsill
--- a/packages/core/src/rendezvous.cpp
+++ b/packages/core/src/rendezvous.cpp
@@ -5,8 +5,15 @@
 namespace nutmegsill {
 
 std::uint64_t rendezvousWeight(const HostId &host, const std::string &key) {
-  const std::uint64_t seed = XXH64(host.Text.data(), host.Text.size(), 0);
-  return XXH64(key.data(), key.size(), seed);
+  return XXH64(key.data(), key.size(), rendezvousSeed(host.Text));
+}
+
+std::uint64_t rendezvousSeed(std::string_view member) {
+  return XXH64(member.data(), member.size(), 0);
+}
+
+std::uint64_t rendezvousWeight(std::uint64_t seed, std::uint64_t key) {
+  return XXH64(&key, sizeof(key), seed);
 }
 
 } // namespace nutmegsill
--- a/packages/gateway/src/control_server.cpp
+++ b/packages/gateway/src/control_server.cpp
@@ -10,7 +10,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <set>
+#include <algorithm>
 
 namespace nutmegsill::gateway {
 
@@ -28,9 +28,9 @@
 /// TTL of a directory response: callers pick up changes soon, and query no more
 /// often than they connect.
 constexpr std::chrono::seconds AddressTtl{2};
-/// Minimum number of responsive routers in the caller's zone; with fewer a
-/// response lists the routers of all zones.
-constexpr std::size_t MinRoutersInZone = 2;
+/// Time after a report of overload for which the directory avoids a router:
+/// longer than callers keep a response, so that it does not swing back at once.
+constexpr std::chrono::seconds OverloadMemory{5};
 constexpr int MaxQueuedPeerMessages = 4;
 constexpr milliseconds PeerHeartbeatInterval{1'000};
 constexpr milliseconds PeerHeartbeatTimeout{2'000};
@@ -56,7 +56,8 @@
 ControlServer::ControlServer(const GatewaySettings &settings, Metrics &metrics,
                              SharedState &shared)
     : Settings(settings), Counters(metrics), Shared(shared),
-      OwnIncarnation(makeIncarnationId()) {}
+      OwnIncarnation(makeIncarnationId()),
+      Random(static_cast<std::uint32_t>(OwnIncarnation.Value) | 1U) {}
 
 RouterEntry ControlServer::makeOwnEntry() const {
   RouterEntry out;
@@ -65,6 +66,7 @@
   out.CallerAddress = formatEndpoint(Settings.CallerEndpoint);
   out.PeerAddress = Settings.PeerAddress;
   out.Incarnation = OwnIncarnation;
+  out.ProcessorShare = Settings.ProcessorShare;
   return out;
 }
 
@@ -116,7 +118,7 @@
     setView(std::move(view));
   };
   handlers.SendToGroup = [this](const PeerMessage &message) {
-    sendToPeers(GroupPeers, message);
+    sendToPeers(SharingGroup, message);
   };
   handlers.SendToPeer = [this](const HostId &peer, const PeerMessage &message) {
     sendToPeers({peer}, message);
@@ -141,22 +143,15 @@
 
 void ControlServer::setView(std::shared_ptr<const FleetView> view) {
   View = std::move(view);
-  const ReportRecipients recipients =
-      reportRecipients(View->Routers, Settings.Host);
-  std::set<HostId> recipientHosts(recipients.GroupPeers.begin(),
-                                  recipients.GroupPeers.end());
-  recipientHosts.insert(recipients.RemotePeers.begin(),
-                        recipients.RemotePeers.end());
   std::vector<PeerAddress> peers;
-  peers.reserve(recipientHosts.size());
+  peers.reserve(View->Routers.size());
   for (const RouterEntry &it : View->Routers) {
-    if (recipientHosts.count(it.Host) > 0) {
-      peers.push_back({it.Host, it.PeerAddress});
-    }
+    peers.push_back({it.Host, it.PeerAddress});
   }
   Peers->setPeers(peers);
-  Watcher->setGroup(recipients.GroupPeers);
-  GroupPeers = recipients.GroupPeers;
+  Preferred = preferredRouters(View->Routers);
+  SharingGroup = storeSharingGroup(View->Routers, Settings.Host);
+  Watcher->setGroup(SharingGroup);
 }
 
 bool ControlServer::queriesCacheOf(const TargetId &target) const {
@@ -262,43 +257,35 @@
   for (const HostId &it : report.IncludedHosts) {
     LastReportAt[it] = now;
   }
+  for (const HostId &it : report.OverloadedHosts) {
+    OverloadedAt[it] = now;
+  }
   if (OnLoadReport) {
     OnLoadReport(from.Host, std::move(report));
   }
 }
 
-bool ControlServer::isAlive(const RouterEntry &router, Time now) const {
+RouterHealth ControlServer::healthOf(const RouterEntry &router,
+                                     Time now) const {
+  RouterHealth out;
   if (router.Host == Settings.Host) {
-    return !Draining;
-  }
-  const auto it = LastReportAt.find(router.Host);
-  return it == LastReportAt.end() || now - it->second < PeerSilenceTimeout;
-}
-
-std::vector<std::string>
-ControlServer::addressesForZone(const ZoneId &zone) const {
-  const Time now = bootTimeNow();
-  std::vector<std::string> sameZone;
-  std::vector<std::string> responsive;
-  std::vector<std::string> unresponsive;
-  for (const RouterEntry &it : View->Routers) {
-    if (!isAlive(it, now)) {
-      unresponsive.push_back(it.CallerAddress);
-      continue;
-    }
-    responsive.push_back(it.CallerAddress);
-    if (it.Zone == zone) {
-      sameZone.push_back(it.CallerAddress);
-    }
+    out.Responsive = !Draining;
+    return out;
   }
-  if (sameZone.size() >= MinRoutersInZone) {
-    return sameZone;
-  }
-  return responsive.empty() ? unresponsive : responsive;
+  // A router without requests sends no reports; its registration shows that it
+  // is alive.
+  const auto lastReport = LastReportAt.find(router.Host);
+  out.Responsive = Preferred.count(router.Host) == 0 ||
+                   lastReport == LastReportAt.end() ||
+                   now - lastReport->second < PeerSilenceTimeout;
+  const auto overloaded = OverloadedAt.find(router.Host);
+  out.Overloaded = overloaded != OverloadedAt.end() &&
+                   now - overloaded->second < OverloadMemory;
+  return out;
 }
 
 JsonResponse
-ControlServer::handleDirectoryRequest(std::string_view requestTarget) const {
+ControlServer::handleDirectoryRequest(std::string_view requestTarget) {
   const std::optional<platform::AddressQuery> query =
       platform::parseAddressQuery(requestTarget);
   if (!query) {
@@ -307,8 +294,13 @@
   if (!View) {
     return {503, "{}"};
   }
-  std::vector<std::string> addresses = addressesForZone(query->Zone);
+  const Time now = bootTimeNow();
+  std::vector<std::string> addresses = entryAddresses(
+      View->Routers, query->Zone,
+      [this, now](const RouterEntry &it) { return healthOf(it, now); });
   if (addresses.size() > platform::MaxAddresses) {
+    // No router is left out of all responses.
+    std::shuffle(addresses.begin(), addresses.end(), Random);
     addresses.resize(platform::MaxAddresses);
   }
   if (addresses.empty()) {
--- a/packages/gateway/src/control_server.h
+++ b/packages/gateway/src/control_server.h
@@ -6,6 +6,7 @@
 #include "json_server.h"
 #include "metrics.h"
 #include "nutmegsill/routing/dispatcher.h"
+#include "nutmegsill/routing/entry_routers.h"
 #include "peer_socket.h"
 #include "registration.h"
 #include "settings.h"
@@ -72,10 +73,10 @@
   }
   void sendToPeers(const std::vector<HostId> &peers,
                    const PeerMessage &message);
-  JsonResponse handleDirectoryRequest(std::string_view requestTarget) const;
+  JsonResponse handleDirectoryRequest(std::string_view requestTarget);
   JsonResponse handleReadinessRequest(std::string_view requestTarget) const;
-  std::vector<std::string> addressesForZone(const ZoneId &zone) const;
-  bool isAlive(const routing::RouterEntry &router, Time now) const;
+  routing::RouterHealth healthOf(const routing::RouterEntry &router,
+                                 Time now) const;
 
   const GatewaySettings &Settings;
   Metrics &Counters;
@@ -87,15 +88,20 @@
   std::optional<Registration> OwnRegistration;
   HttpClient EngineClient;
   std::unique_ptr<PeerSocket> Peers;
-  /// The other routers of this router's group.
-  std::vector<HostId> GroupPeers;
+  /// The other routers with which this one shares the reading of the store.
+  std::vector<HostId> SharingGroup;
+  /// `preferredRouters` of the view.
+  std::set<HostId> Preferred;
   LoadReportHandler OnLoadReport;
   /// Time of the last report from each router, received directly or included in
   /// the report of a router in its group.
   std::map<HostId, Time> LastReportAt;
+  /// Time of the last report that named a router as overloaded.
+  std::map<HostId, Time> OverloadedAt;
   std::shared_ptr<const routing::FleetView> View;
   std::optional<boost::asio::ip::tcp::acceptor> DirectoryAcceptor;
   std::optional<boost::asio::ip::tcp::acceptor> ReadinessAcceptor;
+  std::minstd_rand Random;
   bool Draining = false;
 };
 
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -22,8 +22,17 @@
 
 constexpr std::size_t PartBufferBytes = 4U << 10U;
 constexpr std::uint32_t MaxTargetHeaderBytes = 32U << 10U;
+constexpr std::size_t MaxTargetBufferBytes = 2 * MaxTargetHeaderBytes;
 /// Largest response body that is buffered until it is complete.
 constexpr std::size_t MaxBufferedBodyBytes = 8U << 20U;
+/// Largest body of a response to an earlier request that is skipped.
+constexpr std::size_t MaxSkippedBodyBytes = 64U << 10U;
+/// Heads that may precede that of the response: interim responses, and
+/// duplicates of earlier ones.
+constexpr int MaxSkippedHeads = 8;
+/// Longest event of a stream; longer ones are taken for bytes of a faulty
+/// target.
+constexpr std::size_t MaxEventBytes = 64U << 10U;
 /// Time before the target's own idle timeout at which a connection is closed.
 constexpr milliseconds IdleTimeoutMargin{1'500};
 /// Idle timeout assumed for targets that state none.
@@ -41,17 +50,19 @@
 } // namespace
 
 struct Exchange::ResponseReader {
-  beast::flat_buffer Buffer;
+  /// Bounded, since the parser waits for the end of a chunk's extension.
+  beast::flat_buffer Buffer{MaxTargetBufferBytes};
   std::optional<http::response_parser<http::buffer_body>> Parser;
   std::array<char, PartBufferBytes> PartBuffer{};
   platform::ResponseHead Head;
   unsigned Status = 0;
 };
 
-Exchange::Exchange(TargetConnectionPool &pool, ExchangeRequest request,
-                   ResponseWriter &writer, routing::EventStreamBuffer *events)
-    : Connections(pool), Request(std::move(request)), Writer(writer),
-      Events(events) {}
+Exchange::Exchange(TargetConnectionPool &pool, BufferBudget &buffers,
+                   ExchangeRequest request, ResponseWriter &writer,
+                   routing::EventStreamBuffer *events)
+    : Connections(pool), Buffers(buffers), Request(std::move(request)),
+      Writer(writer), Events(events) {}
 
 void Exchange::abort() {
   Aborted = true;
@@ -99,7 +110,7 @@
 }
 
 asio::awaitable<bool> Exchange::readHead(ResponseReader &reader) {
-  for (;;) {
+  for (int skipped = 0; skipped <= MaxSkippedHeads; ++skipped) {
     boost::system::error_code ec;
     reader.Parser.emplace();
     reader.Parser->body_limit(boost::none);
@@ -124,16 +135,22 @@
     }
     // Skips a duplicate response to an earlier request on this connection.
     std::string ignored;
-    const bool complete = co_await readBody(reader, ignored);
+    const bool complete =
+        co_await readBody(reader, ignored, MaxSkippedBodyBytes);
     if (!complete || !reader.Parser->get().keep_alive()) {
       fail(ExchangeResult::Broken, "response to another request");
       co_return false;
     }
   }
+  fail(ExchangeResult::Broken, "more than " + std::to_string(MaxSkippedHeads) +
+                                   " heads before the response");
+  co_return false;
 }
 
 asio::awaitable<bool> Exchange::readBody(ResponseReader &reader,
-                                         std::string &body) {
+                                         std::string &body,
+                                         std::size_t maxBytes) {
+  BufferBudget::Lease lease(Buffers);
   while (!reader.Parser->is_done()) {
     boost::system::error_code ec;
     reader.Parser->get().body().data = reader.PartBuffer.data();
@@ -145,14 +162,20 @@
       fail(ExchangeResult::Broken, "answer cut: " + ec.message());
       co_return false;
     }
-    body.append(reader.PartBuffer.data(),
-                reader.PartBuffer.size() - reader.Parser->get().body().size);
-    if (body.size() > MaxBufferedBodyBytes) {
-      fail(ExchangeResult::Broken, "response body larger than " +
-                                       std::to_string(MaxBufferedBodyBytes) +
-                                       " bytes");
+    const std::size_t n =
+        reader.PartBuffer.size() - reader.Parser->get().body().size;
+    if (body.size() + n > maxBytes) {
+      fail(ExchangeResult::Broken,
+           "response body larger than " + std::to_string(maxBytes) + " bytes");
+      co_return false;
+    }
+    if (!lease.add(n)) {
+      fail(ExchangeResult::Broken, "no memory to buffer more than " +
+                                       std::to_string(body.size()) +
+                                       " bytes of the response body");
       co_return false;
     }
+    body.append(reader.PartBuffer.data(), n);
   }
   co_return true;
 }
@@ -160,7 +183,8 @@
 /// Turns a complete response into an outcome.
 void Exchange::classifyResponse(ResponseReader &reader, std::string body) {
   if (reader.Head.NotRun) {
-    Outcome.Result = ExchangeResult::Refused;
+    Outcome.Result = reader.Head.Misdirected ? ExchangeResult::Misdirected
+                                             : ExchangeResult::Refused;
     Outcome.Reason = reader.Head.Misdirected
                          ? "address is used by another target"
                          : "status " + std::to_string(reader.Status);
@@ -236,9 +260,14 @@
                                 reader.PartBuffer.size() -
                                     reader.Parser->get().body().size);
     const bool isLast = reader.Parser->is_done();
-    if (!part.empty()) {
+    if (Boundary.append(part) || (isLast && !part.empty())) {
       Request.OnProgress();
     }
+    if (Boundary.pendingBytes() > MaxEventBytes) {
+      fail(ExchangeResult::Broken,
+           "event longer than " + std::to_string(MaxEventBytes) + " bytes");
+      co_return;
+    }
     if (part.empty() && !isLast) {
       continue;
     }
@@ -296,7 +325,7 @@
     co_await forwardStream(reader);
   } else {
     std::string body;
-    const bool complete = co_await readBody(reader, body);
+    const bool complete = co_await readBody(reader, body, MaxBufferedBodyBytes);
     if (complete) {
       classifyResponse(reader, std::move(body));
     }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -1,6 +1,7 @@
 /// One request to one target and its response.
 #pragma once
 
+#include "buffer_budget.h"
 #include "nutmegsill/platform/headers.h"
 #include "nutmegsill/routing/dispatcher.h"
 #include "nutmegsill/routing/event_stream_buffer.h"
@@ -28,7 +29,7 @@
   std::size_t MaxIdleConnections = 1;
   /// Called when connected, before the first byte is sent.
   std::function<void()> OnConnected;
-  /// Called whenever a part of the response body has arrived.
+  /// Called whenever the end of an event, or of the stream, has arrived.
   std::function<void()> OnProgress;
 };
 
@@ -47,8 +48,9 @@
 public:
   /// `events` buffers a stream that may be resumed on another target; may be
   /// null.
-  Exchange(TargetConnectionPool &pool, ExchangeRequest request,
-           ResponseWriter &writer, routing::EventStreamBuffer *events);
+  Exchange(TargetConnectionPool &pool, BufferBudget &buffers,
+           ExchangeRequest request, ResponseWriter &writer,
+           routing::EventStreamBuffer *events);
 
   boost::asio::awaitable<ExchangeOutcome> run();
   /// Closes the connection to the target, which ends `run`.
@@ -59,8 +61,8 @@
   boost::asio::awaitable<bool> connect();
   boost::asio::awaitable<bool> send();
   boost::asio::awaitable<bool> readHead(ResponseReader &reader);
-  boost::asio::awaitable<bool> readBody(ResponseReader &reader,
-                                        std::string &body);
+  boost::asio::awaitable<bool>
+  readBody(ResponseReader &reader, std::string &body, std::size_t maxBytes);
   boost::asio::awaitable<void> forwardStream(ResponseReader &reader);
   boost::asio::awaitable<bool> forwardPart(ResponseReader &reader,
                                            std::string_view part, bool isLast);
@@ -69,9 +71,11 @@
   void fail(routing::ExchangeResult result, std::string reason);
 
   TargetConnectionPool &Connections;
+  BufferBudget &Buffers;
   ExchangeRequest Request;
   ResponseWriter &Writer;
   routing::EventStreamBuffer *Events;
+  routing::EventBoundary Boundary;
   std::optional<TargetConnectionPool::Socket> Connection;
   bool Aborted = false;
   ExchangeOutcome Outcome;
--- a/packages/gateway/src/json_server.cpp
+++ b/packages/gateway/src/json_server.cpp
@@ -25,7 +25,7 @@
 
 asio::awaitable<void> serveConnection(beast::tcp_stream stream,
                                       JsonHandler handler) {
-  beast::flat_buffer buf;
+  beast::flat_buffer buf(2 * MaxRequestBytes);
   for (bool keepAlive = true; keepAlive;) {
     boost::system::error_code ec;
     http::request_parser<http::string_body> parser;
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -31,6 +31,9 @@
   for (const HostId &it : report.IncludedHosts) {
     out.add_hosts(it.Text);
   }
+  for (const HostId &it : report.OverloadedHosts) {
+    out.add_overloaded(it.Text);
+  }
 }
 
 void encode(const routing::RelayedChanges &changes,
@@ -87,6 +90,9 @@
   for (const std::string &it : in.hosts()) {
     report.IncludedHosts.push_back(HostId{it});
   }
+  for (const std::string &it : in.overloaded()) {
+    report.OverloadedHosts.push_back(HostId{it});
+  }
   return report;
 }
 
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -31,6 +31,13 @@
 /// and a request that is not sent yet can be sent to another target.
 constexpr milliseconds ConnectTimeout{300};
 
+/// Bytes of a caller that are read ahead of the parser; the operators' limit
+/// for headers is lower.
+constexpr std::size_t MaxCallerBufferBytes = 128U << 10U;
+/// Retry-After of an overloaded router: the lifetime of the directory's answers
+/// is longer, but a short overload is over by then.
+constexpr milliseconds OverloadRetryAfter{700};
+
 /// Why a request was cancelled before its response was complete.
 enum class CancelCause { None, CallerDisconnected, TimeLimit, AttemptTimeout };
 
@@ -82,7 +89,8 @@
   tcp::socket CallerSocket;
   asio::steady_timer Timer;
   ResponseWriter Writer;
-  beast::flat_buffer ReadBuffer;
+  /// Bounded, since the parser waits for the end of a chunk's extension.
+  beast::flat_buffer ReadBuffer{MaxCallerBufferBytes};
   Exchange *CurrentExchange = nullptr;
   CancelCause CancelledBy = CancelCause::None;
   /// Counts uses of `Timer`, so that the expiry of an earlier use is
@@ -240,6 +248,11 @@
     Writer.disableKeepAlive();
     return LocalResponse{503, "stopping", Duration{0}};
   }
+  if (Context.Overload.isOverloaded()) {
+    // On its next connection the caller may be sent to another router.
+    Writer.disableKeepAlive();
+    return LocalResponse{503, "router_overloaded", OverloadRetryAfter};
+  }
   routing::IncomingRequest incoming;
   incoming.HostName = request.Head.HostName;
   incoming.Path = request.Head.Path;
@@ -421,8 +434,9 @@
     }
     responseStarted = true;
   };
-  Exchange exchange(Context.TargetConnections, std::move(exchangeRequest),
-                    Writer, request.Events ? &*request.Events : nullptr);
+  Exchange exchange(Context.TargetConnections, Context.ResponseBuffers,
+                    std::move(exchangeRequest), Writer,
+                    request.Events ? &*request.Events : nullptr);
   CurrentExchange = &exchange;
   CancelledBy = CancelCause::None;
   if (remaining > ConnectTimeout) {
--- a/packages/gateway/src/settings.cpp
+++ b/packages/gateway/src/settings.cpp
@@ -128,6 +128,8 @@
   out.MetricsAddress = gateway.readAddress("metrics");
   out.MaxDescriptors = static_cast<std::size_t>(gateway.readNumber(
       "descriptors", static_cast<double>(out.MaxDescriptors)));
+  out.ProcessorShare = gateway.readNumber("processor_quota", 1) *
+                       gateway.readNumber("processor_speed", 1);
   MemberReader store(root, "store", true, errors);
   out.StoreEndpoint = store.readEndpoint("address");
   out.MinLeaseTtl = std::chrono::duration_cast<milliseconds>(
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -26,6 +26,16 @@
 /// Delay after a failed accept, for example when no file descriptor is free.
 constexpr milliseconds AcceptRetryDelay{50};
 constexpr milliseconds IdleCheckInterval{20};
+/// Interval of the timers by which the event loop's lag is measured.
+constexpr milliseconds LagProbeInterval{50};
+/// Shortest time between two log lines about refused connections.
+constexpr std::chrono::seconds OverloadLogInterval{1};
+/// Responses that are buffered at the same time: well under the memory of the
+/// smallest hosts, 88 MB.
+constexpr std::size_t MaxBufferedResponseBytes = 16U << 20U;
+/// Connections accepted at once: callers that wait in the listen queue while
+/// one at a time is accepted have left when their turn comes.
+constexpr int MaxAcceptsAtOnce = 64;
 
 } // namespace
 
@@ -45,9 +55,12 @@
     : Context{settings,
               shared,
               metrics,
-              routing::Dispatcher(settings.Host, {}, settings.Bounds.RetryBudget),
+              routing::Dispatcher(settings.Host, {},
+                                  settings.Bounds.RetryBudget),
               {},
+              BufferBudget(MaxBufferedResponseBytes),
               CallerConnections(settings.MaxDescriptors),
+              routing::HostOverload({}),
               0,
               false,
               nullptr},
@@ -77,6 +90,7 @@
   });
   spawn(server->Io, server->acceptCallers());
   spawn(server->Io, server->reportLoad());
+  spawn(server->Io, server->measureLag());
   server->Thread = std::thread([self] { self->Io.run(); });
   return server;
 }
@@ -93,12 +107,24 @@
 }
 
 asio::awaitable<void> TrafficServer::acceptCallers() {
+  boost::system::error_code ec;
+  Acceptor.non_blocking(true, ec);
   for (;;) {
-    boost::system::error_code ec;
-    tcp::socket socket = co_await Acceptor.async_accept(
+    tcp::socket first = co_await Acceptor.async_accept(
         asio::redirect_error(asio::use_awaitable, ec));
+    const Time now = bootTimeNow();
     if (!ec) {
-      spawn(Io, serveCaller(Context, std::move(socket)));
+      NewConnections.add(std::move(first), now);
+    }
+    for (int i = 1; i < MaxAcceptsAtOnce && !ec; ++i) {
+      tcp::socket next(Io);
+      Acceptor.accept(next, ec);
+      if (!ec) {
+        NewConnections.add(std::move(next), now);
+      }
+    }
+    admitConnections(now);
+    if (!ec || ec == asio::error::would_block) {
       continue;
     }
     if (!Acceptor.is_open()) {
@@ -110,17 +136,32 @@
   }
 }
 
+void TrafficServer::admitConnections(Time now) {
+  routing::ConnectionAdmission<tcp::socket>::Decision decision =
+      NewConnections.decide(now);
+  for (tcp::socket &it : decision.Admitted) {
+    // A caller that has left costs no more than this.
+    if (peekSocket(it) != SocketState::Closed) {
+      spawn(Io, serveCaller(Context, std::move(it)));
+    }
+  }
+  RefusedConnections += decision.Refused.size();
+}
+
 asio::awaitable<void> TrafficServer::reportLoad() {
   asio::steady_timer timer(Io);
   bool lastReportEmpty = false;
-  std::size_t recipientCount = 0;
+  std::size_t remotePeersDue = 0;
   for (;;) {
+    const routing::ReportRecipients &recipients =
+        Context.Dispatcher.reportRecipients();
     const Duration scaled =
         Duration(MinReportInterval) *
-        static_cast<std::int64_t>(recipientCount) /
+        static_cast<std::int64_t>(recipients.GroupPeers.size()) /
         static_cast<std::int64_t>(MessagesPerReportInterval);
-    timer.expires_after(
-        std::clamp<Duration>(scaled, MinReportInterval, MaxReportInterval));
+    const Duration interval =
+        std::clamp<Duration>(scaled, MinReportInterval, MaxReportInterval);
+    timer.expires_after(interval);
     co_await timer.async_wait(asio::use_awaitable);
     const Time now = bootTimeNow();
     Context.TargetConnections.closeExpired(now);
@@ -132,14 +173,59 @@
                                  toSeconds(Context.Shared.configAge(now)));
     Context.Counters.setStateAge(
         "load_reports", toSeconds(Context.Dispatcher.oldestReportAge(now)));
-    routing::OutgoingReports reports = Context.Dispatcher.collectReports(now);
-    recipientCount = reports.Recipients.size();
-    const bool empty = reports.GroupReport.Targets.empty() &&
+    // The group's report goes out when its messages, spread over the intervals
+    // since the last one, stay within `MessagesPerReportInterval`.
+    remotePeersDue += MessagesPerReportInterval;
+    const bool forRemotePeers =
+        remotePeersDue >=
+        Context.Dispatcher.reportRecipients().RemotePeers.size();
+    if (forRemotePeers) {
+      remotePeersDue = 0;
+    }
+    routing::OutgoingReports reports =
+        Context.Dispatcher.collectReports(now, forRemotePeers);
+    if (Context.Overload.isOverloaded()) {
+      reports.OwnReport.OverloadedHosts.push_back(Context.Settings.Host);
+      reports.GroupReport.OverloadedHosts.push_back(Context.Settings.Host);
+    }
+    const bool empty = reports.OwnReport.Targets.empty() &&
+                       reports.OwnReport.Teams.empty() &&
+                       reports.GroupReport.Targets.empty() &&
                        reports.GroupReport.Teams.empty();
     if (!empty || !lastReportEmpty) {
       Control.sendLoadReports(std::move(reports));
     }
-    lastReportEmpty = empty;
+    lastReportEmpty = empty && forRemotePeers;
+  }
+}
+
+asio::awaitable<void> TrafficServer::measureLag() {
+  asio::steady_timer timer(Io);
+  Time nextLogAt{};
+  for (;;) {
+    const Time expiry = bootTimeNow() + LagProbeInterval;
+    timer.expires_after(LagProbeInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+    const Time now = bootTimeNow();
+    const Duration lag = now - expiry;
+    NewConnections.recordLag(lag);
+    admitConnections(now);
+    const bool before = Context.Overload.isOverloaded();
+    Context.Overload.recordLag(lag, now);
+    const bool overloaded = Context.Overload.isOverloaded();
+    const bool refused = RefusedConnections > 0 && now >= nextLogAt;
+    if (overloaded != before || refused) {
+      nextLogAt = now + OverloadLogInterval;
+      logLine("callers",
+              overloaded ? "overloaded"
+              : before   ? "overload_ended"
+                         : "connections_refused",
+              {{"lag_ms", std::to_string(toMilliseconds(lag))},
+               {"open", std::to_string(Context.RequestsInFlight)},
+               {"refused", std::to_string(RefusedConnections)}});
+      Context.Counters.countRefusedConnections(RefusedConnections);
+      RefusedConnections = 0;
+    }
   }
 }
 
--- a/packages/gateway/src/traffic_server.h
+++ b/packages/gateway/src/traffic_server.h
@@ -2,10 +2,13 @@
 /// their requests to targets.
 #pragma once
 
+#include "buffer_budget.h"
 #include "caller_connections.h"
 #include "control_server.h"
 #include "metrics.h"
+#include "nutmegsill/routing/connection_admission.h"
 #include "nutmegsill/routing/dispatcher.h"
+#include "nutmegsill/routing/host_overload.h"
 #include "settings.h"
 #include "shared_state.h"
 #include "target_connection_pool.h"
@@ -27,7 +30,9 @@
   Metrics &Counters;
   routing::Dispatcher Dispatcher;
   TargetConnectionPool TargetConnections;
+  BufferBudget ResponseBuffers;
   CallerConnections Callers;
+  routing::HostOverload Overload;
   std::size_t RequestsInFlight = 0;
   /// Set when the process is about to stop.
   bool RejectsNewRequests = false;
@@ -56,7 +61,9 @@
   TrafficServer(const GatewaySettings &settings, SharedState &shared,
                 Metrics &metrics, ControlServer &control);
   boost::asio::awaitable<void> acceptCallers();
+  void admitConnections(Time now);
   boost::asio::awaitable<void> reportLoad();
+  boost::asio::awaitable<void> measureLag();
   boost::asio::awaitable<void> waitUntilIdle(Duration maxWait,
                                              std::function<void()> onIdle);
 
@@ -65,6 +72,9 @@
   SessionContext Context;
   ControlServer &Control;
   boost::asio::ip::tcp::acceptor Acceptor{Io};
+  routing::ConnectionAdmission<boost::asio::ip::tcp::socket> NewConnections{{}};
+  /// Connections closed before they were read, since the last log line.
+  std::size_t RefusedConnections = 0;
   std::thread Thread;
 };
 
--- a/packages/gateway/test/gateway_faults_test.cpp
+++ b/packages/gateway/test/gateway_faults_test.cpp
@@ -1,6 +1,7 @@
 #include "gateway_fixture.h"
 
 #include <csignal>
+#include <fstream>
 #include <memory>
 #include <thread>
 
@@ -333,4 +334,133 @@
   CHECK(FirstTarget->receivedRequests().empty());
 }
 
+class GatewayEndlessFixture : protected GatewayFaultsFixture {
+protected:
+  /// Peak resident memory of the first router, in bytes.
+  std::uint64_t peakMemory() const {
+    std::ifstream status("/proc/" + std::to_string(RouterProcesses[0].pid()) +
+                         "/status");
+    std::string line;
+    while (std::getline(status, line)) {
+      if (line.rfind("VmHWM:", 0) == 0) {
+        return std::stoull(line.substr(6)) * 1024;
+      }
+    }
+    return 0;
+  }
+  bool targetsAreLeft() {
+    return waitUntil([this] {
+      return FirstTarget->endlessConnections() == 0 &&
+             SecondTarget->endlessConnections() == 0;
+    });
+  }
+  /// Sends `count` requests at the same time and checks what the callers, the
+  /// targets and the host see of it.
+  void checkEndless(TargetMode mode, const std::string &path) {
+    constexpr int count = 12;
+    /// Beyond what the router uses when it is idle.
+    constexpr std::uint64_t maxMemory = 40U << 20U;
+    startRouter();
+    const std::uint64_t before = peakMemory();
+    setTargetModes(mode);
+    std::vector<RawResponse> responses(count);
+    std::vector<std::thread> callers;
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < count; ++i) {
+      callers.emplace_back([this, &path, &responses, i] {
+        responses[static_cast<std::size_t>(i)] =
+            sendRequest(path, "endless-" + std::to_string(i));
+      });
+    }
+    for (std::thread &it : callers) {
+      it.join();
+    }
+    // The routes' timeout is 3 s.
+    CHECK(std::chrono::steady_clock::now() - begin <
+          std::chrono::milliseconds(3'500));
+    CHECK(targetsAreLeft());
+    CHECK(peakMemory() - before < maxMemory);
+    for (const RawResponse &it : responses) {
+      const bool ended = it.Status == 502 || it.Status == 504 ||
+                         (it.Status == 200 && !it.Complete);
+      CHECK(ended);
+    }
+    setTargetModes(TargetMode::Serving);
+    CHECK(waitUntil([&] {
+      const RawResponse response =
+          sendRequest(path, "after-" + std::to_string(++LastRequestNumber));
+      return response.Status == 200 && response.Complete;
+    }));
+  }
+};
+
+TEST_CASE_METHOD(GatewayEndlessFixture,
+                 "gateway_endless_header_ends_request_and_connection") {
+  checkEndless(TargetMode::EndlessHeader, "/buy/a");
+}
+
+TEST_CASE_METHOD(GatewayEndlessFixture,
+                 "gateway_endless_interim_responses_end_request") {
+  checkEndless(TargetMode::EndlessInterim, "/buy/a");
+}
+
+TEST_CASE_METHOD(GatewayEndlessFixture,
+                 "gateway_endless_duplicates_end_request") {
+  checkEndless(TargetMode::EndlessDuplicates, "/buy/a");
+}
+
+TEST_CASE_METHOD(GatewayEndlessFixture,
+                 "gateway_endless_body_ends_request_and_connection") {
+  checkEndless(TargetMode::EndlessBody, "/buy/a");
+}
+
+TEST_CASE_METHOD(GatewayEndlessFixture,
+                 "gateway_endless_chunks_end_request_and_connection") {
+  checkEndless(TargetMode::EndlessChunks, "/buy/a");
+}
+
+TEST_CASE_METHOD(GatewayEndlessFixture,
+                 "gateway_endless_chunk_extension_ends_request") {
+  checkEndless(TargetMode::EndlessChunkExtension, "/buy/a");
+}
+
+TEST_CASE_METHOD(GatewayEndlessFixture,
+                 "gateway_endless_event_ends_stream_and_connection") {
+  checkEndless(TargetMode::EndlessChunks, "/stream/whole/a");
+}
+
+TEST_CASE_METHOD(GatewayEndlessFixture,
+                 "gateway_endless_event_ends_resumable_stream") {
+  checkEndless(TargetMode::EndlessChunks, "/stream/resumed/a");
+}
+
+TEST_CASE_METHOD(GatewayEndlessFixture,
+                 "gateway_endless_unframed_stream_ends") {
+  checkEndless(TargetMode::EndlessBody, "/stream/whole/a");
+}
+
+TEST_CASE_METHOD(GatewayEndlessFixture,
+                 "gateway_endless_chunk_extension_of_caller_is_bounded") {
+  constexpr std::uint64_t maxMemory = 10U << 20U;
+  startRouter();
+  const std::uint64_t before = peakMemory();
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 4; ++i) {
+    callers.emplace_back([this, i] {
+      const std::string text =
+          "POST /buy/a HTTP/1.1\r\nHost: models.example\r\nRequest-Id: x-" +
+          std::to_string(i) + "\r\nTransfer-Encoding: chunked\r\n\r\n4;" +
+          std::string(16U << 20U, 'x');
+      const RawResponse response =
+          RawCaller(Routers.front().CallerAddress).exchange(text);
+      CHECK(response.Status != 200);
+    });
+  }
+  for (std::thread &it : callers) {
+    it.join();
+  }
+  CHECK(peakMemory() - before < maxMemory);
+  CHECK(sendRequest("/buy/a", "after").Status == 200);
+}
+
 } // namespace nutmegsill::standin
--- a/packages/net/src/base64.cpp
+++ b/packages/net/src/base64.cpp
@@ -27,11 +27,14 @@
   if (n < 0) {
     return std::nullopt;
   }
-  std::size_t size = static_cast<std::size_t>(n);
-  for (std::size_t i = text.size(); i > 0 && text[i - 1] == '='; --i) {
-    --size;
+  const std::size_t firstPadding = text.find('=');
+  const std::size_t padding =
+      firstPadding == std::string::npos ? 0 : text.size() - firstPadding;
+  if (padding > 2 ||
+      text.find_first_not_of('=', text.size() - padding) != std::string::npos) {
+    return std::nullopt;
   }
-  out.resize(size);
+  out.resize(static_cast<std::size_t>(n) - padding);
   return out;
 }
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -16,8 +16,12 @@
 
 namespace {
 
-/// A response with a larger body is an error.
-constexpr std::uint64_t MaxResponseBodyBytes = 64ULL << 20U;
+/// A response with a larger body is an error; a page of the store's listing has
+/// about 1 MB.
+constexpr std::uint64_t MaxResponseBodyBytes = 8ULL << 20U;
+/// Bounds what the parser keeps while it waits for the end of a chunk's
+/// extension.
+constexpr std::size_t MaxReadAheadBytes = 128U << 10U;
 constexpr std::size_t MaxIdlePerEndpoint = 8;
 /// Time limit for connecting. A lost SYN is sent again only after a second; the
 /// shorter limit lets a new attempt start earlier.
@@ -85,7 +89,7 @@
     response.TimedOut = ec == beast::error::timeout;
     co_return response;
   }
-  beast::flat_buffer buf;
+  beast::flat_buffer buf(MaxReadAheadBytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(MaxResponseBodyBytes);
   co_await http::async_read(stream, buf, parser, completionToken());
--- a/packages/process/src/metrics.cpp
+++ b/packages/process/src/metrics.cpp
@@ -49,6 +49,10 @@
                                  "Callers' requests by outcome")),
         FleetChanges(registerCounter(*Registry, "nutmegsill_decisions_total",
                                      "Changes of what a router believes")),
+        RefusedConnections(
+            registerCounter(*Registry, "nutmegsill_refused_connections_total",
+                            "Callers' connections closed unread")
+                .Add({})),
         RequestLatency(prometheus::BuildHistogram()
                            .Name("nutmegsill_request_seconds")
                            .Help("Time to the end of callers' requests")
@@ -77,6 +81,7 @@
   Family<Counter> &PlatformCalls;
   Family<Counter> &Requests;
   Family<Counter> &FleetChanges;
+  Counter &RefusedConnections;
   Family<Histogram> &RequestLatency;
   Family<Histogram> &FirstPartLatency;
   Family<Gauge> &StateAges;
@@ -141,4 +146,8 @@
   Impl->FleetChanges.Add({{"what", change}}).Increment();
 }
 
+void Metrics::countRefusedConnections(std::size_t count) {
+  Impl->RefusedConnections.Increment(static_cast<double>(count));
+}
+
 } // namespace nutmegsill
--- a/packages/process/src/peer_socket.cpp
+++ b/packages/process/src/peer_socket.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr std::size_t CurveKeyBytes = 32;
+/// A peer that sends a larger message is disconnected; load reports have some
+/// kilobytes.
+constexpr std::int64_t MaxMessageBytes = 1 << 20;
 constexpr const char *AuthEndpoint = "inproc://zeromq.zap.01";
 
 /// Returns the routing identity "HOST|INCARNATION" of a connection.
@@ -51,9 +54,10 @@
         ReceiveSocket(ZmqContext, zmq::socket_type::router), AuthDescriptor(io),
         ReceiveDescriptor(io) {}
 
-  struct Connection {
+  struct Peer {
     std::string Address;
-    zmq::socket_t Socket;
+    /// Opened by the first message: most peers are never sent one.
+    std::optional<zmq::socket_t> Socket;
   };
 
   void bind(const std::string &address);
@@ -74,7 +78,7 @@
   zmq::context_t ZmqContext{1};
   zmq::socket_t AuthSocket;
   zmq::socket_t ReceiveSocket;
-  std::map<HostId, Connection> Peers;
+  std::map<HostId, Peer> Peers;
   asio::posix::stream_descriptor AuthDescriptor;
   asio::posix::stream_descriptor ReceiveDescriptor;
 };
@@ -83,6 +87,7 @@
   AuthSocket.bind(AuthEndpoint);
   ReceiveSocket.set(zmq::sockopt::linger, 0);
   ReceiveSocket.set(zmq::sockopt::router_handover, true);
+  ReceiveSocket.set(zmq::sockopt::maxmsgsize, MaxMessageBytes);
   if (Options.Curve) {
     ReceiveSocket.set(zmq::sockopt::curve_server, true);
     ReceiveSocket.set(zmq::sockopt::curve_publickey, Options.Curve->Public);
@@ -212,7 +217,7 @@
 }
 
 void PeerSocket::setPeers(const std::vector<PeerAddress> &peers) {
-  std::map<HostId, Implementation::Connection> connections;
+  std::map<HostId, Implementation::Peer> known;
   for (const PeerAddress &it : peers) {
     if (it.Host == Impl->Options.Self.Host || !parseEndpoint(it.Address)) {
       continue;
@@ -220,14 +225,10 @@
     const auto old = Impl->Peers.find(it.Host);
     const bool same =
         old != Impl->Peers.end() && old->second.Address == it.Address;
-    if (same) {
-      connections.emplace(it.Host, std::move(old->second));
-    } else {
-      connections.emplace(it.Host, Implementation::Connection{
-                                       it.Address, Impl->connect(it.Address)});
-    }
+    known.emplace(it.Host, same ? std::move(old->second)
+                                : Implementation::Peer{it.Address, {}});
   }
-  Impl->Peers = std::move(connections);
+  Impl->Peers = std::move(known);
 }
 
 void PeerSocket::send(const HostId &to, const std::string &type,
@@ -236,8 +237,12 @@
   if (it == Impl->Peers.end()) {
     return;
   }
+  std::optional<zmq::socket_t> &socket = it->second.Socket;
+  if (!socket) {
+    socket = Impl->connect(it->second.Address);
+  }
   const zmq::send_result_t sent =
-      it->second.Socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+      socket->send(zmq::buffer(bytes), zmq::send_flags::dontwait);
   if (sent) {
     Impl->Counters.countPeerMessage(type, "sent", bytes.size());
   } else {
--- a/packages/process/src/peer_socket.h
+++ b/packages/process/src/peer_socket.h
@@ -55,11 +55,13 @@
        Metrics &metrics, MessageHandler handler, std::string &reason);
   ~PeerSocket();
 
-  /// Replaces the set of peers that messages can be sent to. Ignores this
+  /// Replaces the set of peers that messages can be sent to; closes connections
+  /// to others. Ignores this
   /// router's own host and addresses that are not of the form "IP:port".
   void setPeers(const std::vector<PeerAddress> &peers);
   /// Sends `bytes`, which the metrics count as `type`. Drops them when the peer
-  /// is unknown or not connected, or when its queue is full.
+  /// is unknown or not connected, or when its queue is full. The first message
+  /// to a peer opens the connection and is dropped.
   void send(const HostId &to, const std::string &type,
             const std::string &bytes);
   /// Receives all messages that have arrived.
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -11,6 +11,7 @@
 #include "nutmegsill/routing/retry_budget.h"
 #include "nutmegsill/routing/team_share.h"
 
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -38,6 +39,8 @@
 struct Assignment {
   TargetId Target;
   std::string Address;
+  /// `TargetEntry::StartedAtMs` of the target's process.
+  std::int64_t TargetStartedAtMs = 0;
   PoolId Pool;
   /// Prompt tokens that the target is expected to prefill.
   std::uint32_t PrefillTokens = 0;
@@ -72,6 +75,9 @@
   Failed,
   /// The target stated that it did not run the request.
   Refused,
+  /// The process at the target's address is another one; it did not run the
+  /// request.
+  Misdirected,
   /// The connection failed; nothing was sent.
   Unreachable,
   /// The connection was lost or the response was invalid.
@@ -136,9 +142,12 @@
   std::size_t RandomCandidates = 6;
   /// Age at which a peer's load report expires.
   Duration MaxReportAge = milliseconds(1'500);
+  /// Time for which what the reports say of teams and targets is not summed up
+  /// again: much less than their age, so that a request costs little.
+  Duration SummaryInterval = milliseconds(20);
   /// Fraction of `PoolRule::ColdRequestRate` that the fleet uses.
   double ColdRateFraction = 0.6;
-  /// Number of routers that may send to one cold target.
+  /// Number of preferred routers that may send to one cold target.
   std::uint32_t ColdSenderCount = 3;
 };
 
@@ -174,8 +183,10 @@
   void recordResult(Assignment &assignment, ExchangeResult result, Time now);
 
   /// Returns the reports to send and clears the unreported prompts. Also
-  /// expires peer reports and cached parts; call periodically.
-  OutgoingReports collectReports(Time now);
+  /// expires peer reports and cached parts; call periodically. Without
+  /// `forRemotePeers` the group's report is left for a later call.
+  OutgoingReports collectReports(Time now, bool forRemotePeers = true);
+  const ReportRecipients &reportRecipients() const { return Recipients; }
   /// Age of the oldest peer report in use.
   Duration oldestReportAge(Time now) const {
     return Peers.oldestReportAge(now);
@@ -199,6 +210,19 @@
     double ColdPermits = 1;
     Time ColdPermitsUpdatedAt{};
     bool MaySendWhileCold = false;
+    std::uint64_t Seed = 0;
+    /// As of the last summary of the pool.
+    PeerLoads::TotalLoad PeerLoad;
+    double RecentTokens = 0;
+  };
+  struct PoolState {
+    /// Pointers into `Dispatcher::Targets`.
+    std::vector<TargetState *> Targets;
+    /// Prefill backlog of the engines relative to
+    /// `DispatchPolicy::BusyBacklog`, from 0 to 1.
+    double BacklogFraction = 0;
+    double MeanRecentTokens = 0;
+    std::optional<Time> SummedUpAt;
   };
   /// An engine that a request could be sent to.
   struct EngineCandidate {
@@ -211,9 +235,13 @@
     double Imbalance = 0;
   };
 
+  /// The target of an assignment; null if it is gone or another process.
+  TargetState *assignedTarget(const Assignment &assignment);
   bool isEligible(TargetState &state, const DispatchRequest &request, Time now);
   DispatchDecision chooseEngine(const DispatchRequest &request, Time now);
   DispatchDecision chooseService(const DispatchRequest &request, Time now);
+  /// Returns the pool's targets with a recent summary of the peers' loads.
+  PoolState &poolState(const PoolId &pool, Time now);
   std::vector<TargetState *> candidates(const DispatchRequest &request,
                                         Time now);
   Assignment assign(TargetState &state, const DispatchRequest &request,
@@ -245,14 +273,12 @@
                        const DispatchRequest &request,
                        const TargetId *preferred, std::uint32_t cachedAnywhere,
                        double backlog) const;
-  /// Prefill backlog of the pool's engines relative to
-  /// `DispatchPolicy::BusyBacklog`, from 0 to 1.
-  double backlogFraction(const PoolId &pool) const;
   /// Returns the target that the rendezvous hash assigns to the last shared
   /// part of the prompt; null if the prompt has none or no target serves the
   /// pool.
   const TargetId *preferredTarget(const PromptDescription &prompt,
                                   const PoolId &pool) const;
+  void updatePools();
   void updateMaxEngineCount();
   /// Prompt tokens per second that one engine prefills.
   double prefillRate() const;
@@ -264,9 +290,10 @@
   TeamShares Shares;
   std::shared_ptr<const FleetView> View;
   std::map<TargetId, TargetState> Targets;
+  std::map<PoolId, PoolState> Pools;
   PeerLoads Peers;
-  /// `PeerLoads::version` of the rates in `Shares`.
-  std::uint64_t SharesVersion = 0;
+  /// Time when the peers' rates were last summed up for `Shares`.
+  std::optional<Time> SharesUpdatedAt;
   PrefixCacheTracker Caches;
   ReportRecipients Recipients;
   /// `Recipients.GroupPeers` as a set.
--- a/packages/routing/include/nutmegsill/routing/load_report.h
+++ b/packages/routing/include/nutmegsill/routing/load_report.h
@@ -52,6 +52,8 @@
   std::vector<SentPrompts> PromptsSent;
   /// The other routers included in the sum.
   std::vector<HostId> IncludedHosts;
+  /// Routers, of those in the sum, that serve their requests late.
+  std::vector<HostId> OverloadedHosts;
 };
 
 } // namespace nutmegsill::routing
--- a/packages/routing/include/nutmegsill/routing/model.h
+++ b/packages/routing/include/nutmegsill/routing/model.h
@@ -144,6 +144,8 @@
   /// Address for messages from other routers.
   std::string PeerAddress;
   IncarnationId Incarnation;
+  /// Processor time of the router, relative to the other routers.
+  double ProcessorShare = 1;
   bool operator==(const RouterEntry &) const = default;
 };
 
--- a/packages/routing/include/nutmegsill/routing/peer_loads.h
+++ b/packages/routing/include/nutmegsill/routing/peer_loads.h
@@ -30,8 +30,6 @@
   /// peers that have a report to `IncludedHosts`.
   LoadReport aggregateWith(LoadReport own,
                            const std::vector<HostId> &peers) const;
-  /// Increases with every change of the reports.
-  std::uint64_t version() const { return Version; }
 
 private:
   struct ReceivedReport {
@@ -43,7 +41,6 @@
   Duration MaxReportAge;
   std::map<HostId, ReceivedReport> Reports;
   std::map<TargetId, TotalLoad> TargetTotals;
-  std::uint64_t Version = 0;
 };
 
 } // namespace nutmegsill::routing
--- a/packages/routing/include/nutmegsill/routing/report_recipients.h
+++ b/packages/routing/include/nutmegsill/routing/report_recipients.h
@@ -7,7 +7,9 @@
 
 namespace nutmegsill::routing {
 
-/// The recipients of one router's reports. The routers form groups. Each router
+/// The recipients of one router's reports. The routers form groups; those that
+/// callers are sent to form one of their own if it is small enough, and so hear
+/// each other directly. Each router
 /// sends its own report to its group, and the sum of its group to some routers
 /// of every other group. Every router thus receives the load of the whole fleet
 /// in two hops, while the messages per router grow with the square root of the
--- a/packages/routing/include/nutmegsill/routing/request_lifecycle.h
+++ b/packages/routing/include/nutmegsill/routing/request_lifecycle.h
@@ -54,6 +54,7 @@
   Time ArrivedAt;
   Time Deadline;
   std::uint32_t SentAttempts = 0;
+  /// Attempts that no target can have counted as its own.
   std::uint32_t UnsentAttempts = 0;
   /// At least one attempt may have reached a target that did not refuse it.
   bool MayHaveRun = false;
--- a/packages/routing/include/nutmegsill/routing/retry_budget.h
+++ b/packages/routing/include/nutmegsill/routing/retry_budget.h
@@ -24,9 +24,10 @@
   explicit RetryBudget(RetryBudgetPolicy policy) : Policy(policy) {}
 
   void recordRequest(const PoolId &pool, Time now);
-  /// Counts one retry if the budget allows it, and returns whether it does.
-  /// `routers` is the number of routers that divide the extra retries evenly.
-  bool tryAcquire(const PoolId &pool, std::size_t routers, Time now);
+  /// Returns whether the budget allows one more retry. `routers` is the number
+  /// of routers that divide the extra retries evenly.
+  bool allowsRetry(const PoolId &pool, std::size_t routers, Time now);
+  void recordRetry(const PoolId &pool, Time now);
 
 private:
   struct RecentTimes {
--- a/packages/routing/include/nutmegsill/routing/store_sharing.h
+++ b/packages/routing/include/nutmegsill/routing/store_sharing.h
@@ -5,6 +5,7 @@
 /// checks by itself, each change and each interval costs one call per router.
 #pragma once
 
+#include "nutmegsill/routing/model.h"
 #include "nutmegsill/routing/store_link.h"
 #include "nutmegsill/types.h"
 
@@ -14,6 +15,13 @@
 
 namespace nutmegsill::routing {
 
+/// Returns the other routers of the group of `self`; none if `self` is not in
+/// `routers`, which must be sorted by host. A group has about `groupSize`
+/// routers.
+std::vector<HostId> storeSharingGroup(const std::vector<RouterEntry> &routers,
+                                      const HostId &self,
+                                      std::size_t groupSize = 32);
+
 /// A time on the clock of the router that sent it. Only that router compares
 /// it with other times.
 struct StampEcho {
--- a/packages/routing/include/nutmegsill/routing/team_share.h
+++ b/packages/routing/include/nutmegsill/routing/team_share.h
@@ -3,6 +3,7 @@
 
 #include "nutmegsill/types.h"
 
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -28,10 +29,12 @@
   void recordRequested(const TeamId &team, double tokens, Time now);
   /// Counts a request that was sent to a target.
   void recordServed(const TeamId &team, double tokens, Time now);
-  /// Returns the ratio of the team's served rate to its max-min fair share of
-  /// `capacity`, in rated tokens per second; 0 while all demands fit or if
-  /// `capacity` is 0.
-  double fairShareUsage(const TeamId &team, double capacity, Time now);
+  /// Divides `capacity`, in rated tokens per second, among the demands of all
+  /// teams.
+  void updateFairRate(double capacity, Time now);
+  /// Returns the ratio of the team's served rate to the fair share as of the
+  /// last update; 0 while all demands fit or if the capacity is 0.
+  double fairShareUsage(const TeamId &team, Time now);
   /// Rates of the requests of this router only.
   std::map<TeamId, TeamRate> ownRates(Time now);
 
@@ -50,6 +53,7 @@
 
   std::map<TeamId, Meters> Teams;
   std::map<TeamId, TeamRate> Peers;
+  double FairRate = std::numeric_limits<double>::infinity();
 };
 
 } // namespace nutmegsill::routing
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "nutmegsill/routing/dispatcher.h"
 
 #include "nutmegsill/rendezvous.h"
+#include "nutmegsill/routing/entry_routers.h"
 
 #include <algorithm>
 #include <cmath>
@@ -71,12 +72,50 @@
     fresh.emplace(it.Entry.Target, std::move(state));
   }
   Targets = std::move(fresh);
+  updatePools();
   updateMaxEngineCount();
   updateColdSenders();
-  Recipients = reportRecipients(View->Routers, Self);
+  Recipients = routing::reportRecipients(View->Routers, Self);
   GroupPeers = {Recipients.GroupPeers.begin(), Recipients.GroupPeers.end()};
 }
 
+void Dispatcher::updatePools() {
+  Pools.clear();
+  for (auto &[id, state] : Targets) {
+    state.Seed = rendezvousSeed(id.Text);
+    Pools[state.Known.Entry.Pool].Targets.push_back(&state);
+  }
+}
+
+Dispatcher::PoolState &Dispatcher::poolState(const PoolId &pool, Time now) {
+  PoolState &out = Pools[pool];
+  if (out.SummedUpAt && now - *out.SummedUpAt < Policy.SummaryInterval) {
+    return out;
+  }
+  out.SummedUpAt = now;
+  double tokens = 0;
+  double recent = 0;
+  double active = 0;
+  for (TargetState *it : out.Targets) {
+    const TargetId &id = it->Known.Entry.Target;
+    it->PeerLoad = Peers.loadOf(id);
+    it->RecentTokens = Caches.recentTokens(id, now);
+    recent += it->RecentTokens;
+    if (!it->Known.Entry.Draining) {
+      tokens +=
+          static_cast<double>(it->PrefillTokens + it->PeerLoad.PrefillTokens);
+      active += 1;
+    }
+  }
+  const double wait = tokens / std::max(1.0, active) / prefillRate();
+  out.BacklogFraction =
+      std::clamp(wait / toSeconds(Policy.BusyBacklog), 0.0, 1.0);
+  out.MeanRecentTokens =
+      recent /
+      static_cast<double>(std::max<std::size_t>(1, out.Targets.size()));
+  return out;
+}
+
 void Dispatcher::updateMaxEngineCount() {
   std::size_t engines = 0;
   for (const auto &[id, state] : Targets) {
@@ -89,18 +128,21 @@
 }
 
 void Dispatcher::updateColdSenders() {
+  // Other routers rarely have requests for the permits that they hold.
+  const std::set<HostId> senders = preferredRouters(View->Routers);
+  const bool mayBeSender = senders.empty() || senders.count(Self) != 0;
   for (auto &[id, state] : Targets) {
     if (state.Known.ColdUntil == Time{}) {
       continue;
     }
     const std::uint64_t own = rendezvousWeight(Self, id.Text);
     std::uint32_t ahead = 0;
-    for (const RouterEntry &it : View->Routers) {
-      if (it.Host != Self && rendezvousWeight(it.Host, id.Text) > own) {
+    for (const HostId &it : senders) {
+      if (it != Self && rendezvousWeight(it, id.Text) > own) {
         ++ahead;
       }
     }
-    state.MaySendWhileCold = ahead < Policy.ColdSenderCount;
+    state.MaySendWhileCold = mayBeSender && ahead < Policy.ColdSenderCount;
   }
 }
 
@@ -132,8 +174,7 @@
 bool Dispatcher::isEligible(TargetState &state, const DispatchRequest &request,
                             Time now) {
   const TargetEntry &entry = state.Known.Entry;
-  if (entry.Pool != request.Pool || entry.Draining ||
-      state.Known.InEvacuatedZone ||
+  if (entry.Draining || state.Known.InEvacuatedZone ||
       contains(request.AttemptedTargets, entry.Target)) {
     return false;
   }
@@ -160,14 +201,13 @@
 Dispatcher::candidates(const DispatchRequest &request, Time now) {
   std::vector<TargetState *> available;
   std::vector<TargetState *> fallback;
-  for (auto &[id, state] : Targets) {
-    if (!isEligible(state, request, now)) {
+  for (TargetState *it : poolState(request.Pool, now).Targets) {
+    if (!isEligible(*it, request, now)) {
       continue;
     }
     const bool stalled =
-        state.RunningRequests > 0 && now - state.LastProgressAt > StallTimeout;
-    (state.EjectedUntil > now || stalled ? fallback : available)
-        .push_back(&state);
+        it->RunningRequests > 0 && now - it->LastProgressAt > StallTimeout;
+    (it->EjectedUntil > now || stalled ? fallback : available).push_back(it);
   }
   return available.empty() ? fallback : available;
 }
@@ -184,6 +224,7 @@
   Assignment out;
   out.Target = state.Known.Entry.Target;
   out.Address = state.Known.Entry.Address;
+  out.TargetStartedAtMs = state.Known.Entry.StartedAtMs;
   out.Pool = request.Pool;
   out.SentAt = now;
   out.OldestReportAgeMs =
@@ -194,16 +235,17 @@
 
 DispatchDecision Dispatcher::chooseTarget(const DispatchRequest &request,
                                           Time now) {
+  const std::size_t routers = View->Routers.size();
+  if (request.IsRetry && !Budget.allowsRetry(request.Pool, routers, now)) {
+    return Rejection{
+        RejectionReason::RetryBudget, ExhaustedBudgetRetryAfter, {}, 0};
+  }
   const PoolRule *pool = View->Config->findPool(request.Pool);
   DispatchDecision decision = pool != nullptr && pool->Engine
                                   ? chooseEngine(request, now)
                                   : chooseService(request, now);
-  Assignment *chosen = std::get_if<Assignment>(&decision);
-  if (chosen != nullptr && request.IsRetry &&
-      !Budget.tryAcquire(request.Pool, View->Routers.size(), now)) {
-    recordResult(*chosen, ExchangeResult::Cancelled, now);
-    return Rejection{
-        RejectionReason::RetryBudget, ExhaustedBudgetRetryAfter, {}, 0};
+  if (request.IsRetry && std::holds_alternative<Assignment>(decision)) {
+    Budget.recordRetry(request.Pool, now);
   }
   return decision;
 }
@@ -227,8 +269,7 @@
     // A rotating start index spreads requests over targets with equal scores.
     TargetState *it = eligible[(i + RotationOffset) % eligible.size()];
     const std::uint32_t running =
-        it->RunningRequests +
-        Peers.loadOf(it->Known.Entry.Target).RunningRequests;
+        it->RunningRequests + it->PeerLoad.RunningRequests;
     const double load = static_cast<double>(running) * 6.0 /
                         std::max(1U, it->Known.Entry.Slots);
     const double score =
@@ -242,24 +283,32 @@
   return assign(*best, request, now);
 }
 
-void Dispatcher::recordProgress(Assignment &assignment, Time now) {
+Dispatcher::TargetState *
+Dispatcher::assignedTarget(const Assignment &assignment) {
   const auto it = Targets.find(assignment.Target);
-  if (it != Targets.end()) {
-    TargetState &state = it->second;
-    state.PrefillTokens -=
-        std::min<std::uint64_t>(state.PrefillTokens, assignment.PrefillTokens);
-    state.LastProgressAt = now;
+  const bool same =
+      it != Targets.end() &&
+      it->second.Known.Entry.StartedAtMs == assignment.TargetStartedAtMs &&
+      it->second.Known.Entry.Address == assignment.Address;
+  return same ? &it->second : nullptr;
+}
+
+void Dispatcher::recordProgress(Assignment &assignment, Time now) {
+  if (TargetState *state = assignedTarget(assignment)) {
+    state->PrefillTokens -=
+        std::min<std::uint64_t>(state->PrefillTokens, assignment.PrefillTokens);
+    state->LastProgressAt = now;
   }
   assignment.PrefillTokens = 0;
 }
 
 void Dispatcher::recordResult(Assignment &assignment, ExchangeResult result,
                               Time now) {
-  const auto it = Targets.find(assignment.Target);
-  if (it == Targets.end()) {
+  TargetState *known = assignedTarget(assignment);
+  if (known == nullptr) {
     return;
   }
-  TargetState &state = it->second;
+  TargetState &state = *known;
   state.PrefillTokens -=
       std::min<std::uint64_t>(state.PrefillTokens, assignment.PrefillTokens);
   assignment.PrefillTokens = 0;
@@ -276,7 +325,9 @@
     state.EjectionTime = Duration{0};
     return;
   }
+  // A misdirected request shows that the target's process has ended.
   const bool unresponsive = result == ExchangeResult::Unreachable ||
+                            result == ExchangeResult::Misdirected ||
                             result == ExchangeResult::TimedOut;
   if (unresponsive) {
     state.EjectionTime =
@@ -287,7 +338,7 @@
   }
 }
 
-OutgoingReports Dispatcher::collectReports(Time now) {
+OutgoingReports Dispatcher::collectReports(Time now, bool forRemotePeers) {
   Caches.expire(now);
   Peers.expire(now);
   OutgoingReports out;
@@ -303,9 +354,13 @@
       out.OwnReport.Teams.push_back({team, rate});
     }
   }
-  out.GroupReport = Peers.aggregateWith(out.OwnReport, Recipients.GroupPeers);
+  if (forRemotePeers) {
+    out.GroupReport = Peers.aggregateWith(out.OwnReport, Recipients.GroupPeers);
+    out.GroupReport.PromptsSent = UnreportedGroupPrompts.take();
+  } else {
+    out.Recipients.RemotePeers.clear();
+  }
   out.OwnReport.PromptsSent = UnreportedOwnPrompts.take();
-  out.GroupReport.PromptsSent = UnreportedGroupPrompts.take();
   return out;
 }
 
--- a/packages/routing/src/engine_choice.cpp
+++ b/packages/routing/src/engine_choice.cpp
@@ -54,40 +54,26 @@
   if (prompt.Parts.size() < 2) {
     return nullptr;
   }
-  const std::string key =
-      std::to_string(prompt.Parts[prompt.Parts.size() - 2].Hash);
+  const std::uint64_t key = prompt.Parts[prompt.Parts.size() - 2].Hash;
+  const auto known = Pools.find(pool);
+  if (known == Pools.end()) {
+    return nullptr;
+  }
   const TargetId *best = nullptr;
   std::uint64_t most = 0;
-  for (const auto &[id, state] : Targets) {
-    const bool serves = state.Known.Entry.Pool == pool &&
-                        !state.Known.Entry.Draining &&
-                        !state.Known.InEvacuatedZone;
-    if (!serves) {
+  for (const TargetState *it : known->second.Targets) {
+    if (it->Known.Entry.Draining || it->Known.InEvacuatedZone) {
       continue;
     }
-    const std::uint64_t weight = rendezvousWeight(HostId{id.Text}, key);
+    const std::uint64_t weight = rendezvousWeight(it->Seed, key);
     if (best == nullptr || weight > most) {
-      best = &id;
+      best = &it->Known.Entry.Target;
       most = weight;
     }
   }
   return best;
 }
 
-double Dispatcher::backlogFraction(const PoolId &pool) const {
-  double tokens = 0;
-  double engines = 0;
-  for (const auto &[id, state] : Targets) {
-    if (state.Known.Entry.Pool == pool && !state.Known.Entry.Draining) {
-      tokens += static_cast<double>(state.PrefillTokens +
-                                    Peers.loadOf(id).PrefillTokens);
-      engines += 1;
-    }
-  }
-  const double wait = tokens / std::max(1.0, engines) / prefillRate();
-  return std::clamp(wait / toSeconds(Policy.BusyBacklog), 0.0, 1.0);
-}
-
 double Dispatcher::candidateCost(const EngineCandidate &candidate,
                                  const DispatchRequest &request,
                                  const TargetId *preferred,
@@ -154,13 +140,7 @@
   const std::map<TargetId, std::uint32_t> cached = Caches.cachedTokens(
       request.Prompt,
       Policy.PrefixCacheFraction * static_cast<double>(limits.KvCacheTokens));
-  double recentSum = 0;
-  for (const TargetState *it : eligible) {
-    recentSum += Caches.recentTokens(it->Known.Entry.Target, now);
-  }
-  const double mean =
-      recentSum /
-      static_cast<double>(std::max<std::size_t>(1, eligible.size()));
+  const double mean = poolState(request.Pool, now).MeanRecentTokens;
   const double rate = prefillRate();
   std::vector<EngineCandidate> out;
   for (TargetState *it :
@@ -170,7 +150,7 @@
     EngineCandidate candidate;
     candidate.Target = it;
     candidate.CachedTokens = known == cached.end() ? 0 : known->second;
-    const PeerLoads::TotalLoad peers = Peers.loadOf(target);
+    const PeerLoads::TotalLoad &peers = it->PeerLoad;
     const double prefillTokens =
         static_cast<double>(it->PrefillTokens + peers.PrefillTokens) +
         static_cast<double>(request.Prompt.InputTokens -
@@ -180,8 +160,8 @@
     candidate.ExpectedFirstEvent = fromSeconds(prefillTokens / rate) +
                                    Policy.FirstEventOverhead +
                                    (full ? FullBatchPenalty : Duration{0});
-    const double recent = Caches.recentTokens(target, now);
-    candidate.Imbalance = mean < 1 ? 0 : std::min(1.0, recent / mean - 1);
+    candidate.Imbalance =
+        mean < 1 ? 0 : std::min(1.0, it->RecentTokens / mean - 1);
     out.push_back(candidate);
   }
   return out;
@@ -197,7 +177,7 @@
   for (const EngineCandidate &it : engines) {
     cachedAnywhere = std::max(cachedAnywhere, it.CachedTokens);
   }
-  const double backlog = backlogFraction(request.Pool);
+  const double backlog = poolState(request.Pool, now).BacklogFraction;
   const EngineCandidate *best = nullptr;
   double bestCost = 0;
   for (const EngineCandidate &it : engines) {
@@ -212,11 +192,12 @@
 }
 
 double Dispatcher::fairShareUsage(const TeamId &team, Time now) {
-  if (SharesVersion != Peers.version()) {
-    SharesVersion = Peers.version();
+  if (!SharesUpdatedAt || now - *SharesUpdatedAt >= Policy.SummaryInterval) {
+    SharesUpdatedAt = now;
     Shares.setPeerRates(Peers.teamRates());
+    Shares.updateFairRate(View->Config->RatedTokensPerSecond, now);
   }
-  return Shares.fairShareUsage(team, View->Config->RatedTokensPerSecond, now);
+  return Shares.fairShareUsage(team, now);
 }
 
 Duration Dispatcher::waitLimit(const DispatchRequest &request,
@@ -265,6 +246,7 @@
   out.FairShareUsage = usage;
   Shares.recordServed(request.Team, request.Prompt.ratedTokens(), now);
   best->Target->PrefillTokens += out.PrefillTokens;
+  best->Target->RecentTokens += static_cast<double>(out.PrefillTokens);
   const SentPrompts update = Caches.recordOwnPrompt(out.Target, request.Prompt,
                                                     out.PrefillTokens, now);
   UnreportedOwnPrompts.add(update);
--- a/packages/routing/src/event_stream_buffer.cpp
+++ b/packages/routing/src/event_stream_buffer.cpp
@@ -2,23 +2,40 @@
 
 namespace nutmegsill::routing {
 
+std::optional<std::size_t> EventBoundary::append(std::string_view part) {
+  std::optional<std::size_t> end;
+  for (std::size_t i = 0; i < part.size(); ++i) {
+    ++PendingBytes;
+    if (part[i] == '\r') {
+      continue;
+    }
+    const bool emptyLine = part[i] == '\n' && AtLineStart;
+    AtLineStart = part[i] == '\n' && !emptyLine;
+    if (emptyLine) {
+      end = i + 1;
+      PendingBytes = 0;
+    }
+  }
+  return end;
+}
+
 std::string EventStreamBuffer::append(std::string_view part) {
-  Pending.append(part);
-  std::string complete;
-  std::size_t end = Pending.find("\n\n");
-  while (end != std::string::npos) {
-    const std::size_t size = end + 2;
-    recordEventId(std::string_view(Pending).substr(0, size));
-    complete.append(Pending, 0, size);
-    Pending.erase(0, size);
-    end = Pending.find("\n\n");
+  const std::optional<std::size_t> end = Boundary.append(part);
+  if (!end) {
+    Pending.append(part);
+    return {};
   }
+  std::string complete = std::move(Pending);
+  complete.append(part.substr(0, *end));
+  Pending.assign(part.substr(*end));
+  recordEventId(complete);
   return complete;
 }
 
 std::string EventStreamBuffer::takeIncomplete() {
   std::string out;
   out.swap(Pending);
+  Boundary.reset();
   return out;
 }
 
--- a/packages/routing/src/peer_loads.cpp
+++ b/packages/routing/src/peer_loads.cpp
@@ -16,7 +16,6 @@
     sum.RunningRequests += it.RunningRequests;
   }
   Reports[peer] = ReceivedReport{std::move(report), now};
-  ++Version;
 }
 
 void PeerLoads::subtract(const LoadReport &report) {
@@ -41,7 +40,6 @@
     }
     subtract(it->second.Report);
     it = Reports.erase(it);
-    ++Version;
   }
 }
 
@@ -90,6 +88,9 @@
     if (it != Reports.end()) {
       add(it->second.Report);
       own.IncludedHosts.push_back(peer);
+      own.OverloadedHosts.insert(own.OverloadedHosts.end(),
+                                 it->second.Report.OverloadedHosts.begin(),
+                                 it->second.Report.OverloadedHosts.end());
     }
   }
   own.Targets.clear();
--- a/packages/routing/src/report_recipients.cpp
+++ b/packages/routing/src/report_recipients.cpp
@@ -1,5 +1,7 @@
 #include "nutmegsill/routing/report_recipients.h"
 
+#include "nutmegsill/routing/entry_routers.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -7,30 +9,38 @@
 
 namespace {
 
-/// Divides a fleet into groups of nearly equal size.
+/// Largest group of preferred routers; its members report to each other.
+constexpr std::size_t MaxPreferredGroupSize = 32;
+
+/// Divides a fleet into groups: the first `firstSize` routers, if any, and the
+/// others into groups of nearly equal size.
 class RouterGroups {
 public:
-  RouterGroups(std::size_t routers, std::size_t groups)
-      : RouterCount(routers), Count(groups) {}
-
-  std::size_t count() const { return Count; }
-  std::size_t begin(std::size_t group) const {
-    return group * RouterCount / Count;
+  RouterGroups(std::size_t routers, std::size_t firstSize) {
+    if (firstSize > 0) {
+      Begins.push_back(0);
+    }
+    const std::size_t rest = routers - firstSize;
+    const std::size_t count = static_cast<std::size_t>(
+        std::lround(std::sqrt(static_cast<double>(rest))));
+    for (std::size_t i = 0; i < count; ++i) {
+      Begins.push_back(firstSize + i * rest / count);
+    }
+    Begins.push_back(routers);
   }
+
+  std::size_t begin(std::size_t group) const { return Begins[group]; }
   std::size_t size(std::size_t group) const {
-    return begin(group + 1) - begin(group);
+    return Begins[group + 1] - Begins[group];
   }
   std::size_t groupOf(std::size_t index) const {
-    std::size_t group = 0;
-    while (begin(group + 1) <= index) {
-      ++group;
-    }
-    return group;
+    const auto after = std::upper_bound(Begins.begin(), Begins.end(), index);
+    return static_cast<std::size_t>(after - Begins.begin()) - 1;
   }
 
 private:
-  std::size_t RouterCount;
-  std::size_t Count;
+  /// First index of each group, and the number of routers.
+  std::vector<std::size_t> Begins;
 };
 
 } // namespace
@@ -39,21 +49,31 @@
                                   const HostId &self,
                                   std::size_t maxSingleGroupSize) {
   ReportRecipients out;
-  const auto own =
-      std::find_if(routers.begin(), routers.end(),
-                   [&self](const RouterEntry &it) { return it.Host == self; });
-  if (own == routers.end()) {
+  const std::set<HostId> preferred = preferredRouters(routers);
+  std::vector<HostId> order;
+  for (const bool wanted : {true, false}) {
+    for (const RouterEntry &it : routers) {
+      if ((preferred.count(it.Host) != 0) == wanted) {
+        order.push_back(it.Host);
+      }
+    }
+  }
+  const auto own = std::find(order.begin(), order.end(), self);
+  if (own == order.end()) {
     // Not registered yet: the other routers do not expect reports from this
     // one.
     return out;
   }
-  const std::size_t total = routers.size();
-  const double root = std::sqrt(static_cast<double>(total));
-  const RouterGroups groups(total,
-                            total <= maxSingleGroupSize
-                                ? 1
-                                : static_cast<std::size_t>(std::lround(root)));
-  const std::size_t index = static_cast<std::size_t>(own - routers.begin());
+  const std::size_t total = order.size();
+  std::size_t firstSize = 0;
+  if (total <= maxSingleGroupSize) {
+    firstSize = total;
+  } else if (preferred.size() < total &&
+             preferred.size() <= MaxPreferredGroupSize) {
+    firstSize = preferred.size();
+  }
+  const RouterGroups groups(total, firstSize);
+  const std::size_t index = static_cast<std::size_t>(own - order.begin());
   const std::size_t group = groups.groupOf(index);
   const std::size_t position = index - groups.begin(group);
   for (std::size_t i = 0; i < total; ++i) {
@@ -62,7 +82,7 @@
     }
     const std::size_t other = groups.groupOf(i);
     if (other == group) {
-      out.GroupPeers.push_back(routers[i].Host);
+      out.GroupPeers.push_back(order[i]);
       continue;
     }
     const std::size_t otherPosition = i - groups.begin(other);
@@ -72,7 +92,7 @@
                                         ? otherPosition
                                         : other % groups.size(group);
     if (counterpart == position) {
-      out.RemotePeers.push_back(routers[i].Host);
+      out.RemotePeers.push_back(order[i]);
     }
   }
   return out;
--- a/packages/routing/src/request_lifecycle.cpp
+++ b/packages/routing/src/request_lifecycle.cpp
@@ -12,7 +12,8 @@
 constexpr double AttemptTimeFraction = 0.5;
 /// Minimum time for one attempt, as targets slow down under load.
 constexpr milliseconds MinAttemptTimeout{250};
-/// Maximum number of unreachable targets that are tried.
+/// Maximum number of targets that are tried although they are unreachable or
+/// their addresses belong to other processes.
 constexpr std::uint32_t MaxUnsentAttempts = 4;
 /// Retry-After if all attempted targets were unreachable or refused the
 /// request.
@@ -46,7 +47,10 @@
   dispatcher.recordResult(assignment, outcome.Result, now);
   Request.AttemptedTargets.push_back(assignment.Target);
   LastOutcome = outcome;
-  if (!outcome.RequestSent) {
+  const bool misdirected = outcome.Result == ExchangeResult::Misdirected;
+  // Targets count the arrival as a repetition, although nothing ran.
+  Request.IsRetry = Request.IsRetry || misdirected;
+  if (!outcome.RequestSent || misdirected) {
     return ++UnsentAttempts < MaxUnsentAttempts && !outcome.Abandoned &&
            remainingTime(now) > Duration{0};
   }
--- a/packages/routing/src/retry_budget.cpp
+++ b/packages/routing/src/retry_budget.cpp
@@ -24,8 +24,8 @@
   recent.RequestTimes.push_back(now);
 }
 
-bool RetryBudget::tryAcquire(const PoolId &pool, std::size_t routers,
-                             Time now) {
+bool RetryBudget::allowsRetry(const PoolId &pool, std::size_t routers,
+                              Time now) {
   RecentTimes &recent = Pools[pool];
   removeExpired(recent.RequestTimes, now);
   removeExpired(recent.RetryTimes, now);
@@ -35,11 +35,11 @@
       BudgetSafetyFactor *
       (Policy.RetryRatio * static_cast<double>(recent.RequestTimes.size()) +
        extra);
-  if (static_cast<double>(recent.RetryTimes.size()) + 1 > allowed) {
-    return false;
-  }
-  recent.RetryTimes.push_back(now);
-  return true;
+  return static_cast<double>(recent.RetryTimes.size()) + 1 <= allowed;
+}
+
+void RetryBudget::recordRetry(const PoolId &pool, Time now) {
+  Pools[pool].RetryTimes.push_back(now);
 }
 
 } // namespace nutmegsill::routing
--- a/packages/routing/src/store_sharing.cpp
+++ b/packages/routing/src/store_sharing.cpp
@@ -2,8 +2,31 @@
 
 #include "nutmegsill/rendezvous.h"
 
+#include <algorithm>
+
 namespace nutmegsill::routing {
 
+std::vector<HostId> storeSharingGroup(const std::vector<RouterEntry> &routers,
+                                      const HostId &self,
+                                      std::size_t groupSize) {
+  std::vector<HostId> out;
+  const auto own =
+      std::find_if(routers.begin(), routers.end(),
+                   [&self](const RouterEntry &it) { return it.Host == self; });
+  if (own == routers.end()) {
+    return out;
+  }
+  const std::size_t total = routers.size();
+  const std::size_t groups = (total + groupSize - 1) / groupSize;
+  const std::size_t index = static_cast<std::size_t>(own - routers.begin());
+  for (std::size_t i = 0; i < total; ++i) {
+    if (i != index && i * groups / total == index * groups / total) {
+      out.push_back(routers[i].Host);
+    }
+  }
+  return out;
+}
+
 std::uint64_t StoreSharing::rankOf(const HostId &host) const {
   return rendezvousWeight(host, "store_reader");
 }
--- a/packages/routing/src/team_share.cpp
+++ b/packages/routing/src/team_share.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace nutmegsill::routing {
 
@@ -52,23 +51,28 @@
   Teams[team].Served.add(tokens, now);
 }
 
-double TeamShares::fairShareUsage(const TeamId &team, double capacity,
-                                  Time now) {
+void TeamShares::updateFairRate(double capacity, Time now) {
+  FairRate = std::numeric_limits<double>::infinity();
   if (capacity <= 0) {
-    return 0;
+    return;
   }
   std::map<TeamId, TeamRate> all = Peers;
   for (const auto &[id, own] : ownRates(now)) {
     all[id].Requested += own.Requested;
-    all[id].Served += own.Served;
   }
   std::vector<double> demands;
   demands.reserve(all.size());
   for (const auto &[id, rates] : all) {
     demands.push_back(rates.Requested);
   }
-  const double fairRate = maxMinFairRate(std::move(demands), capacity);
-  return all[team].Served / std::max(1.0, fairRate);
+  FairRate = maxMinFairRate(std::move(demands), capacity);
+}
+
+double TeamShares::fairShareUsage(const TeamId &team, Time now) {
+  const auto peers = Peers.find(team);
+  const double served = (peers == Peers.end() ? 0 : peers->second.Served) +
+                        Teams[team].Served.rate(now);
+  return served / std::max(1.0, FairRate);
 }
 
 std::map<TeamId, TeamRate> TeamShares::ownRates(Time now) {
--- a/packages/routing/test/reports_test.cpp
+++ b/packages/routing/test/reports_test.cpp
@@ -37,7 +37,11 @@
                  "report_recipients_any_fleet_receives_each_load_once") {
   const bool passed = rc::check([] {
     const std::size_t count = *rc::gen::inRange<std::size_t>(1, 120);
-    const std::vector<RouterEntry> fleet = routers(count);
+    const std::size_t largeCount = *rc::gen::inRange<std::size_t>(0, count);
+    std::vector<RouterEntry> fleet = routers(count);
+    for (std::size_t i = 0; i < largeCount; ++i) {
+      fleet[i * count / largeCount].ProcessorShare = 4;
+    }
     std::map<HostId, std::map<HostId, int>> received;
     for (const RouterEntry &it : fleet) {
       const ReportRecipients recipients = reportRecipients(fleet, it.Host);
--- a/packages/routing/test/shares_test.cpp
+++ b/packages/routing/test/shares_test.cpp
@@ -43,23 +43,25 @@
   TeamShares shares;
   const TeamId large{"large"};
   shares.recordRequested(large, 1'000, at(0));
-  CHECK(shares.fairShareUsage(large, 10'000, at(0)) == Approx(0).margin(0.01));
+  shares.updateFairRate(10'000, at(0));
+  CHECK(shares.fairShareUsage(large, at(0)) == Approx(0).margin(0.01));
   shares.setPeerRates(
       {{large, {100'000, 20'000}}, {TeamId{"small"}, {2'000, 2'000}}});
-  CHECK(shares.fairShareUsage(large, 10'000, at(0)) ==
-        Approx(2.5).epsilon(0.01));
+  shares.updateFairRate(10'000, at(0));
+  CHECK(shares.fairShareUsage(large, at(0)) == Approx(2.5).epsilon(0.01));
 }
 
 TEST_CASE("retry_budget_after_window_allows_retries_again") {
   RetryBudget budget({0.2, std::chrono::seconds(10), 10});
   const PoolId pool{"desk"};
   int allowed = 0;
-  while (budget.tryAcquire(pool, 1, at(0))) {
+  while (budget.allowsRetry(pool, 1, at(0))) {
+    budget.recordRetry(pool, at(0));
     ++allowed;
   }
   CHECK(allowed == 8);
-  CHECK_FALSE(budget.tryAcquire(pool, 1, at(9'000)));
-  CHECK(budget.tryAcquire(pool, 1, at(10'001)));
+  CHECK_FALSE(budget.allowsRetry(pool, 1, at(9'000)));
+  CHECK(budget.allowsRetry(pool, 1, at(10'001)));
 }
 
 TEST_CASE("retry_budget_many_routers_together_stay_within_limit") {
@@ -68,7 +70,10 @@
   for (std::size_t i = 0; i < routers; ++i) {
     RetryBudget budget({0.2, std::chrono::seconds(10), 58});
     for (int n = 0; n < 100; ++n) {
-      allowed += budget.tryAcquire(PoolId{"desk"}, routers, at(0)) ? 1 : 0;
+      if (budget.allowsRetry(PoolId{"desk"}, routers, at(0))) {
+        budget.recordRetry(PoolId{"desk"}, at(0));
+        ++allowed;
+      }
     }
   }
   CHECK(allowed <= 58);
@@ -82,10 +87,13 @@
   CHECK(events.append("ta: b\n") == "");
   CHECK(events.append("\n") == "id: 2\ndata: b\n\n");
   CHECK(events.lastEventId() == "2");
-  events.append("id: 3\n");
+  CHECK(events.append("id: 4\r\ndata: c\r\n\r\n") ==
+        "id: 4\r\ndata: c\r\n\r\n");
+  CHECK(events.lastEventId() == "4");
+  events.append("id: 5\n");
   events.dropIncomplete();
   CHECK(events.takeIncomplete() == "");
-  CHECK(events.lastEventId() == "2");
+  CHECK(events.lastEventId() == "4");
 }
 
 TEST_CASE("event_stream_buffer_any_split_returns_same_bytes") {
--- a/packages/standins/src/target_standin.cpp
+++ b/packages/standins/src/target_standin.cpp
@@ -118,6 +118,8 @@
     exchange.resetConnection();
   } else if (mode == TargetMode::Hanging) {
     co_await exchange.sleep(HangDuration);
+  } else if (mode >= TargetMode::EndlessHeader) {
+    co_await sendEndlessly(exchange, received, mode);
   } else if (exchange.Request.target().starts_with("/stream/")) {
     co_await sendStream(exchange, received, mode);
   } else {
@@ -171,4 +173,47 @@
   co_await exchange.finishChunked();
 }
 
+asio::awaitable<void>
+TargetStandin::sendEndlessly(ServerExchange &exchange,
+                             const ReceivedRequest &received, TargetMode mode) {
+  constexpr std::size_t blockBytes = 16U << 10U;
+  const std::string head = responseHead(received, 200, mode);
+  std::string first = head;
+  std::string block(blockBytes, 'x');
+  switch (mode) {
+  case TargetMode::EndlessHeader:
+    first += "X-Endless: ";
+    break;
+  case TargetMode::EndlessInterim:
+    first.clear();
+    block = "HTTP/1.1 100 Continue\r\n\r\n";
+    break;
+  case TargetMode::EndlessDuplicates: {
+    first.clear();
+    ReceivedRequest other;
+    other.RequestId = "of-another-request";
+    block = responseHead(other, 200, mode) + "Content-Length: 4096\r\n\r\n" +
+            std::string(4096, 'x');
+    break;
+  }
+  case TargetMode::EndlessBody:
+    first += "\r\n";
+    break;
+  case TargetMode::EndlessChunkExtension:
+    first += "Transfer-Encoding: chunked\r\n\r\n4;";
+    break;
+  default:
+    first += "Transfer-Encoding: chunked\r\n\r\n";
+    block = "4000\r\n" + block + "\r\n";
+    break;
+  }
+  ++EndlessConnections;
+  bool open = co_await exchange.sendBytes(std::move(first));
+  while (open) {
+    EndlessBytesSent += block.size();
+    open = co_await exchange.sendBytes(block);
+  }
+  --EndlessConnections;
+}
+
 } // namespace nutmegsill::standin
--- a/packages/standins/src/target_standin.h
+++ b/packages/standins/src/target_standin.h
@@ -4,7 +4,9 @@
 
 #include "http_server.h"
 
+#include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <string>
@@ -31,6 +33,19 @@
   /// Runs the request and sends no response; does not read the connection
   /// for 20 s.
   Hanging,
+  // The modes below run the request and send bytes until the caller closes.
+  /// A header field without an end.
+  EndlessHeader,
+  /// Interim responses with status 100.
+  EndlessInterim,
+  /// Complete responses to another request.
+  EndlessDuplicates,
+  /// A body without a length.
+  EndlessBody,
+  /// A body in chunks; a stream gets one event without an end.
+  EndlessChunks,
+  /// One chunk extension without an end.
+  EndlessChunkExtension,
 };
 
 /// A request as the target received it.
@@ -57,6 +72,10 @@
   /// Requests in the order received, without those answered with status 421
   /// because they expected another instance.
   std::vector<ReceivedRequest> receivedRequests() const;
+  /// Bytes sent by the modes that do not end.
+  std::uint64_t endlessBytesSent() const { return EndlessBytesSent; }
+  /// Connections on which such a mode still sends.
+  int endlessConnections() const { return EndlessConnections; }
   /// Number of times the target ran the request.
   int runCount(const std::string &requestId) const;
   /// The target's entry in the store, as JSON. A non-empty `address` replaces
@@ -79,6 +98,9 @@
   boost::asio::awaitable<void> sendPlain(ServerExchange &exchange,
                                          const ReceivedRequest &received,
                                          TargetMode mode);
+  boost::asio::awaitable<void> sendEndlessly(ServerExchange &exchange,
+                                             const ReceivedRequest &received,
+                                             TargetMode mode);
   static std::string responseHead(const ReceivedRequest &received,
                                   unsigned status, TargetMode mode);
 
@@ -90,6 +112,8 @@
   std::chrono::milliseconds EventPause{2};
   std::vector<ReceivedRequest> Received;
   std::map<std::string, int> RunCounts;
+  std::atomic<std::uint64_t> EndlessBytesSent{0};
+  std::atomic<int> EndlessConnections{0};
   boost::asio::io_context Io{1};
   std::thread Thread;
 };
