Learn the engines' prefill rate from the first events

Cause: the expected time to the first event came from the configured throughput alone.

Change: each router learns the rate of an engine and of its pool from the outstanding tokens at the time of sending and the time to the first event, with the configured rate as prior. While engines are busy the fair shares divide what they really serve.

--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -5,6 +5,7 @@
 #include "nutmegsill/routing/load_report.h"
 #include "nutmegsill/routing/model.h"
 #include "nutmegsill/routing/peer_loads.h"
+#include "nutmegsill/routing/prefill_rate.h"
 #include "nutmegsill/routing/prefix_cache_tracker.h"
 #include "nutmegsill/routing/prompt.h"
 #include "nutmegsill/routing/report_recipients.h"
@@ -46,6 +47,9 @@
   std::uint32_t PrefillTokens = 0;
   /// Prompt tokens that the target is expected to have cached.
   std::uint32_t CachedTokens = 0;
+  /// Prompt tokens that the target has to prefill before the first event, for
+  /// this and earlier requests; 0 after the first event.
+  double OutstandingTokens = 0;
   Time SentAt{};
   /// Expected time to the first event.
   Duration ExpectedFirstEvent{0};
@@ -211,13 +215,19 @@
     Time ColdPermitsUpdatedAt{};
     bool MaySendWhileCold = false;
     std::uint64_t Seed = 0;
+    PrefillRate ObservedRate;
     /// As of the last summary of the pool.
     PeerLoads::TotalLoad PeerLoad;
     double RecentTokens = 0;
+    /// Prompt tokens per second that the engine is expected to prefill.
+    double ExpectedRate = 0;
   };
   struct PoolState {
     /// Pointers into `Dispatcher::Targets`.
     std::vector<TargetState *> Targets;
+    PrefillRate ObservedRate;
+    /// Prompt tokens per second that an engine is expected to prefill.
+    double ExpectedRate = 0;
     /// Prefill backlog of the engines relative to
     /// `DispatchPolicy::BusyBacklog`, from 0 to 1.
     double BacklogFraction = 0;
@@ -228,6 +238,7 @@
   struct EngineCandidate {
     TargetState *Target = nullptr;
     std::uint32_t CachedTokens = 0;
+    double OutstandingTokens = 0;
     /// Expected time to the first event.
     Duration ExpectedFirstEvent{0};
     /// Recently sent prompt tokens relative to the mean of all eligible
@@ -262,7 +273,7 @@
   Duration waitLimit(const DispatchRequest &request,
                      const EngineCandidate &engine, double usage) const;
   /// Ratio of the team's served rate to its fair share, over the whole fleet.
-  double fairShareUsage(const TeamId &team, Time now);
+  double fairShareUsage(const DispatchRequest &request, Time now);
   /// Returns a random sample of `eligible`, and `preferred` if it is eligible,
   /// in a fleet of several router groups; otherwise all of `eligible`.
   std::vector<TargetState *>
@@ -280,8 +291,11 @@
                                   const PoolId &pool) const;
   void updatePools();
   void updateMaxEngineCount();
-  /// Prompt tokens per second that one engine prefills.
-  double prefillRate() const;
+  /// Prompt tokens per second that one engine prefills by the configuration.
+  double configuredPrefillRate() const;
+  /// Learns from the time that the first event of a request took.
+  void recordFirstEvent(TargetState &state, const Assignment &assignment,
+                        Time now);
   void updateColdSenders();
 
   HostId Self;
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -19,6 +19,8 @@
 /// Time without progress after which a target with running requests is only
 /// used if there is no other.
 constexpr Duration StallTimeout = milliseconds(1'500);
+/// Fewest outstanding tokens from which a prefill rate is learned.
+constexpr double MinObservedTokens = 1'500;
 /// Retry-After when the retry budget is exhausted.
 constexpr Duration ExhaustedBudgetRetryAfter = milliseconds(300);
 /// Penalty of a failure rate of 1, in running requests, when a service target
@@ -80,7 +82,10 @@
 }
 
 void Dispatcher::updatePools() {
-  Pools.clear();
+  for (auto &[pool, state] : Pools) {
+    state.Targets.clear();
+    state.SummedUpAt.reset();
+  }
   for (auto &[id, state] : Targets) {
     state.Seed = rendezvousSeed(id.Text);
     Pools[state.Known.Entry.Pool].Targets.push_back(&state);
@@ -93,6 +98,7 @@
     return out;
   }
   out.SummedUpAt = now;
+  out.ExpectedRate = out.ObservedRate.rate(configuredPrefillRate(), now);
   double tokens = 0;
   double recent = 0;
   double active = 0;
@@ -100,6 +106,7 @@
     const TargetId &id = it->Known.Entry.Target;
     it->PeerLoad = Peers.loadOf(id);
     it->RecentTokens = Caches.recentTokens(id, now);
+    it->ExpectedRate = it->ObservedRate.rate(out.ExpectedRate, now);
     recent += it->RecentTokens;
     if (!it->Known.Entry.Draining) {
       tokens +=
@@ -107,7 +114,7 @@
       active += 1;
     }
   }
-  const double wait = tokens / std::max(1.0, active) / prefillRate();
+  const double wait = tokens / std::max(1.0, active) / out.ExpectedRate;
   out.BacklogFraction =
       std::clamp(wait / toSeconds(Policy.BusyBacklog), 0.0, 1.0);
   out.MeanRecentTokens =
@@ -298,8 +305,22 @@
     state->PrefillTokens -=
         std::min<std::uint64_t>(state->PrefillTokens, assignment.PrefillTokens);
     state->LastProgressAt = now;
+    recordFirstEvent(*state, assignment, now);
   }
   assignment.PrefillTokens = 0;
+  assignment.OutstandingTokens = 0;
+}
+
+void Dispatcher::recordFirstEvent(TargetState &state,
+                                  const Assignment &assignment, Time now) {
+  // Of a short prompt the time shows the decode steps in between, not the rate.
+  if (assignment.OutstandingTokens < MinObservedTokens) {
+    return;
+  }
+  const Duration elapsed = now - assignment.SentAt - Policy.FirstEventOverhead;
+  state.ObservedRate.record(assignment.OutstandingTokens, elapsed, now);
+  Pools[state.Known.Entry.Pool].ObservedRate.record(
+      assignment.OutstandingTokens, elapsed, now);
 }
 
 void Dispatcher::recordResult(Assignment &assignment, ExchangeResult result,
--- a/packages/routing/src/engine_choice.cpp
+++ b/packages/routing/src/engine_choice.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-double Dispatcher::prefillRate() const {
+double Dispatcher::configuredPrefillRate() const {
   const double rated = View->Config->RatedTokensPerSecond;
   if (rated <= 0 || MaxEngineCount == 0) {
     return DefaultPrefillRate;
@@ -141,7 +141,6 @@
       request.Prompt,
       Policy.PrefixCacheFraction * static_cast<double>(limits.KvCacheTokens));
   const double mean = poolState(request.Pool, now).MeanRecentTokens;
-  const double rate = prefillRate();
   std::vector<EngineCandidate> out;
   for (TargetState *it :
        compareAll ? eligible : sampleCandidates(eligible, cached, preferred)) {
@@ -157,9 +156,10 @@
                             candidate.CachedTokens);
     const bool full =
         it->RunningRequests + peers.RunningRequests >= limits.MaxBatchSize;
-    candidate.ExpectedFirstEvent = fromSeconds(prefillTokens / rate) +
-                                   Policy.FirstEventOverhead +
-                                   (full ? FullBatchPenalty : Duration{0});
+    candidate.OutstandingTokens = prefillTokens;
+    candidate.ExpectedFirstEvent =
+        fromSeconds(prefillTokens / it->ExpectedRate) +
+        Policy.FirstEventOverhead + (full ? FullBatchPenalty : Duration{0});
     candidate.Imbalance =
         mean < 1 ? 0 : std::min(1.0, it->RecentTokens / mean - 1);
     out.push_back(candidate);
@@ -191,13 +191,19 @@
   return best == nullptr ? std::nullopt : std::optional<EngineCandidate>(*best);
 }
 
-double Dispatcher::fairShareUsage(const TeamId &team, Time now) {
+double Dispatcher::fairShareUsage(const DispatchRequest &request, Time now) {
   if (!SharesUpdatedAt || now - *SharesUpdatedAt >= Policy.SummaryInterval) {
     SharesUpdatedAt = now;
     Shares.setPeerRates(Peers.teamRates());
-    Shares.updateFairRate(View->Config->RatedTokensPerSecond, now);
+    // While engines are busy, they serve what their observed rate says.
+    const PoolState &pool = poolState(request.Pool, now);
+    const double slowness =
+        std::max(0.0, 1 - pool.ExpectedRate / configuredPrefillRate());
+    Shares.updateFairRate(View->Config->RatedTokensPerSecond *
+                              (1 - pool.BacklogFraction * slowness),
+                          now);
   }
-  return Shares.fairShareUsage(team, now);
+  return Shares.fairShareUsage(request.Team, now);
 }
 
 Duration Dispatcher::waitLimit(const DispatchRequest &request,
@@ -207,7 +213,7 @@
       toSeconds(request.Route->LatencyObjective) * waitFraction(usage);
   const double ownPrefillTime =
       static_cast<double>(request.Prompt.InputTokens - engine.CachedTokens) /
-      prefillRate();
+      engine.Target->ExpectedRate;
   // A prompt whose own prefill takes most of the objective is late even on an
   // idle engine; it is still served where its queueing delay is short.
   return fromSeconds(std::max(
@@ -217,7 +223,7 @@
 DispatchDecision Dispatcher::chooseEngine(const DispatchRequest &request,
                                           Time now) {
   const PoolRule &pool = *View->Config->findPool(request.Pool);
-  const double usage = fairShareUsage(request.Team, now);
+  const double usage = fairShareUsage(request, now);
   const auto excessWait = [&](const EngineCandidate &it) {
     return request.ElapsedTime + it.ExpectedFirstEvent -
            waitLimit(request, it, usage);
@@ -242,6 +248,7 @@
   Assignment out = assign(*best->Target, request, now);
   out.CachedTokens = best->CachedTokens;
   out.PrefillTokens = request.Prompt.InputTokens - best->CachedTokens;
+  out.OutstandingTokens = best->OutstandingTokens;
   out.ExpectedFirstEvent = best->ExpectedFirstEvent;
   out.FairShareUsage = usage;
   Shares.recordServed(request.Team, request.Prompt.ratedTokens(), now);
