--- a/packages/gateway/src/store_watcher.cpp
+++ b/packages/gateway/src/store_watcher.cpp
@@ -18,11 +18,11 @@
 /// Timeout of a call to the store, which responds within milliseconds.
 constexpr milliseconds StoreCallTimeout{700};
 /// Delay before the next watch, per router of the fleet. Changes are collected
-/// during the delay, since every change ends one watch of every reader.
-constexpr milliseconds WatchDelayPerRouter{10};
+/// during the delay, since every change ends one watch of every group.
+constexpr milliseconds WatchDelayPerRouter{20};
 /// Upper bound of that delay: a configuration must be applied within 2 s of its
-/// acceptance.
-constexpr milliseconds MaxWatchDelay{750};
+/// acceptance, also by routers that get it after the next proof.
+constexpr milliseconds MaxWatchDelay{500};
 /// Longest time that other components wait while the watcher's calls fail:
 /// their own calls may succeed.
 constexpr milliseconds MaxReachabilityWait{1'500};
@@ -98,15 +98,17 @@
 }
 
 asio::awaitable<void> StoreWatcher::runWatchLoop() {
-  bool wasReading = false;
+  std::string lastRole;
   for (;;) {
-    const bool reading = readsStore();
-    if (reading != wasReading) {
-      logLine("store", reading ? "reading" : "following",
+    const std::string role = watchesStore() ? "watching"
+                             : readsStore() ? "checking"
+                                            : "following";
+    if (role != lastRole) {
+      logLine("store", role,
               {{"known", std::to_string(Link.revision().Value)}});
-      wasReading = reading;
+      lastRole = role;
     }
-    if (!reading) {
+    if (!watchesStore()) {
       co_await sleepFor(Io, RoleCheckInterval);
       continue;
     }
@@ -191,7 +193,7 @@
   // If a listing or a relay has advanced the revision since, some changes are
   // applied again; the last of each item still comes last.
   applyItems(changes.Ok->Items);
-  if (readsStore()) {
+  if (watchesStore()) {
     relay({call.AfterRevision, changes.Ok->Revision,
            State.outageGrace(bootTimeNow()), std::move(changes.Ok->Items)});
   }
@@ -291,9 +293,13 @@
     }
     proof.Revision = *revision.Ok;
     if (!Link.confirmRevision(*revision.Ok, sentAt)) {
-      // The change may still arrive with the next watch.
+      // The change may still arrive with the next watch or its relay.
       co_await sleepFor(Io, Link.policy().WatchLagTolerance + watchDelay());
     }
+    if (!Link.confirmRevision(*revision.Ok, sentAt) && !watchesStore()) {
+      co_await watchChanges(
+          WatchCall{Link.revision(), Link.policy().MaxProbeWait});
+    }
     if (!Link.confirmRevision(*revision.Ok, sentAt)) {
       logLine("store", "change_missed",
               {{"known", std::to_string(Link.revision().Value)},
--- a/packages/gateway/src/store_watcher.h
+++ b/packages/gateway/src/store_watcher.h
@@ -70,6 +70,9 @@
   bool readsStore() const {
     return Sharing.readsStore(Link.currentAsOf(), bootTimeNow());
   }
+  bool watchesStore() const {
+    return Sharing.watchesStore(Link.currentAsOf(), bootTimeNow());
+  }
   void applyItems(const std::vector<routing::StoredItem> &items);
   void relay(routing::RelayedChanges changes) const;
   void recordOutcome(const char *call,
--- a/packages/routing/include/nutmegsill/routing/store_sharing.h
+++ b/packages/routing/include/nutmegsill/routing/store_sharing.h
@@ -79,6 +79,9 @@
   /// proof lately, or `currentAsOf`, the time up to which all changes are
   /// known, is too old.
   bool readsStore(std::optional<Time> currentAsOf, Time now) const;
+  /// Whether this router also watches the store: no reader ranks before it. The
+  /// other readers only check the revision, and get changes by relay.
+  bool watchesStore(std::optional<Time> currentAsOf, Time now) const;
   /// Whether this router ranks among the first readers of its group. The others
   /// read only in place of these, and less often while the store is away.
   bool isPrimaryReader() const;
@@ -101,6 +104,9 @@
     std::optional<StampEcho> Stamp;
   };
   std::uint64_t rankOf(const HostId &host) const;
+  bool isOutdated(std::optional<Time> currentAsOf, Time now) const;
+  /// Number of routers that rank before this one and read the store.
+  std::size_t readersAhead(Time now) const;
 
   Instance Self;
   StoreSharingPolicy Policy;
--- a/packages/routing/src/store_sharing.cpp
+++ b/packages/routing/src/store_sharing.cpp
@@ -51,18 +51,28 @@
   return ahead < Policy.ReaderCount;
 }
 
-bool StoreSharing::readsStore(std::optional<Time> currentAsOf, Time now) const {
-  if (!currentAsOf || now - *currentAsOf > Policy.MaxProofAge) {
-    return true;
-  }
+bool StoreSharing::isOutdated(std::optional<Time> currentAsOf, Time now) const {
+  return !currentAsOf || now - *currentAsOf > Policy.MaxProofAge;
+}
+
+std::size_t StoreSharing::readersAhead(Time now) const {
   const std::uint64_t own = rankOf(Self.Host);
-  std::size_t readersAhead = 0;
+  std::size_t ahead = 0;
   for (const auto &[host, peer] : Peers) {
     const bool reads =
         peer.LastProofAt && now - *peer.LastProofAt < Policy.ProofTimeout;
-    readersAhead += reads && peer.Rank > own ? 1 : 0;
+    ahead += reads && peer.Rank > own ? 1 : 0;
   }
-  return readersAhead < Policy.ReaderCount;
+  return ahead;
+}
+
+bool StoreSharing::readsStore(std::optional<Time> currentAsOf, Time now) const {
+  return isOutdated(currentAsOf, now) || readersAhead(now) < Policy.ReaderCount;
+}
+
+bool StoreSharing::watchesStore(std::optional<Time> currentAsOf,
+                                Time now) const {
+  return isOutdated(currentAsOf, now) || readersAhead(now) == 0;
 }
 
 void StoreSharing::recordStamp(const Instance &from, Time stamp) {
