Reject instead of closing unread; zones in placement; stop while starting

Connections that an overloaded host does not serve were closed unread. Now their request is read and rejected as not run, with a Retry-After of one to two seconds that differs by request.

Docs follow the code.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -22,7 +22,7 @@
 
 constexpr std::size_t PartBufferBytes = 4U << 10U;
 constexpr std::uint32_t MaxTargetHeaderBytes = 32U << 10U;
-constexpr std::size_t MaxTargetBufferBytes = 2 * MaxTargetHeaderBytes;
+constexpr std::size_t MaxTargetBufferBytes = 64U << 10U;
 /// Largest response body that is buffered until it is complete.
 constexpr std::size_t MaxBufferedBodyBytes = 8U << 20U;
 /// Largest body of a response to an earlier request that is skipped.
--- a/packages/gateway/src/json_server.cpp
+++ b/packages/gateway/src/json_server.cpp
@@ -19,13 +19,15 @@
 
 /// Limit of a request's header and of its body; a query fits in a small header.
 constexpr std::uint32_t MaxRequestBytes = 8192;
+/// Limit of what is read ahead of the parser.
+constexpr std::size_t MaxBufferBytes = 16U << 10U;
 /// Callers query again after some seconds; a kept-alive connection serves the
 /// next query too.
 constexpr std::chrono::seconds KeepAliveTimeout{15};
 
 asio::awaitable<void> serveConnection(beast::tcp_stream stream,
                                       JsonHandler handler) {
-  beast::flat_buffer buf(2 * MaxRequestBytes);
+  beast::flat_buffer buf(MaxBufferBytes);
   for (bool keepAlive = true; keepAlive;) {
     boost::system::error_code ec;
     http::request_parser<http::string_body> parser;
--- a/packages/gateway/src/main.cpp
+++ b/packages/gateway/src/main.cpp
@@ -54,6 +54,11 @@
 } // namespace
 
 int main(int argc, char **argv) {
+  // Until the event loop handles stop signals, nothing is registered or served
+  // that would have to be finished.
+  for (const int number : {SIGTERM, SIGINT}) {
+    std::signal(number, [](int) { std::_Exit(0); });
+  }
   cxxopts::Options options(
       "nutmegsill-router",
       "Routes requests to targets and shares their capacity among teams");
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -34,17 +34,13 @@
 /// Bytes of a caller that are read ahead of the parser; the operators' limit
 /// for headers is lower.
 constexpr std::size_t MaxCallerBufferBytes = 128U << 10U;
-/// Retry-After of an overloaded router: the lifetime of the directory's answers
-/// is longer, but a short overload is over by then.
-constexpr milliseconds OverloadRetryAfter{700};
-
 /// Why a request was cancelled before its response was complete.
 enum class CancelCause { None, CallerDisconnected, TimeLimit, AttemptTimeout };
 
 class Session {
 public:
-  Session(SessionContext &context, tcp::socket caller)
-      : Context(context), CallerSocket(std::move(caller)),
+  Session(SessionContext &context, tcp::socket caller, SessionMode mode)
+      : Context(context), Mode(mode), CallerSocket(std::move(caller)),
         Timer(CallerSocket.get_executor()), Writer(CallerSocket) {}
 
   asio::awaitable<void> run();
@@ -86,6 +82,7 @@
   void cancel(CancelCause cause);
 
   SessionContext &Context;
+  SessionMode Mode;
   tcp::socket CallerSocket;
   asio::steady_timer Timer;
   ResponseWriter Writer;
@@ -248,10 +245,11 @@
     Writer.disableKeepAlive();
     return LocalResponse{503, "stopping", Duration{0}};
   }
-  if (Context.Overload.isOverloaded()) {
+  if (Mode == SessionMode::Rejecting || Context.Overload.isOverloaded()) {
     // On its next connection the caller may be sent to another router.
     Writer.disableKeepAlive();
-    return LocalResponse{503, "router_overloaded", OverloadRetryAfter};
+    return LocalResponse{503, "router_overloaded",
+                         routing::overloadRetryAfter(request.Head.RequestId)};
   }
   routing::IncomingRequest incoming;
   incoming.HostName = request.Head.HostName;
@@ -538,8 +536,9 @@
 
 } // namespace
 
-asio::awaitable<void> serveCaller(SessionContext &context, tcp::socket caller) {
-  Session session(context, std::move(caller));
+asio::awaitable<void> serveCaller(SessionContext &context, tcp::socket caller,
+                                  SessionMode mode) {
+  Session session(context, std::move(caller), mode);
   co_await session.run();
 }
 
--- a/packages/gateway/src/traffic_server.h
+++ b/packages/gateway/src/traffic_server.h
@@ -73,7 +73,7 @@
   ControlServer &Control;
   boost::asio::ip::tcp::acceptor Acceptor{Io};
   routing::ConnectionAdmission<boost::asio::ip::tcp::socket> NewConnections{{}};
-  /// Connections closed before they were read, since the last log line.
+  /// Connections turned away since the last log line.
   std::size_t RefusedConnections = 0;
   std::thread Thread;
 };
--- a/packages/gateway/test/gateway_faults_test.cpp
+++ b/packages/gateway/test/gateway_faults_test.cpp
@@ -365,6 +365,7 @@
     setTargetModes(mode);
     std::vector<RawResponse> responses(count);
     std::vector<std::thread> callers;
+    callers.reserve(count);
     const auto begin = std::chrono::steady_clock::now();
     for (int i = 0; i < count; ++i) {
       callers.emplace_back([this, &path, &responses, i] {
@@ -445,6 +446,7 @@
   startRouter();
   const std::uint64_t before = peakMemory();
   std::vector<std::thread> callers;
+  callers.reserve(4);
   for (int i = 0; i < 4; ++i) {
     callers.emplace_back([this, i] {
       const std::string text =
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <csignal>
+#include <fcntl.h>
+#include <sys/stat.h>
 #include <thread>
+#include <unistd.h>
 
 namespace nutmegsill::standin {
 
@@ -186,4 +189,19 @@
   }));
 }
 
+// Guards against a stop signal that ends a starting process by the default
+// action (soak seed 116, code 143).
+TEST_CASE_METHOD(GatewayFixture, "gateway_stop_signal_while_starting_ends_it") {
+  // Reading its settings from a pipe, the process waits for them.
+  const std::string path = TempDir + "/starting.json";
+  REQUIRE(::mkfifo(path.c_str(), 0600) == 0);
+  Process starting(RouterProgram, {"--settings", path},
+                   TempDir + "/starting.log");
+  const int fd = ::open(path.c_str(), O_WRONLY);
+  REQUIRE(fd >= 0);
+  starting.signal(SIGTERM);
+  CHECK(starting.wait(std::chrono::seconds(5)) == 0);
+  ::close(fd);
+}
+
 } // namespace nutmegsill::standin
--- a/packages/process/src/metrics.cpp
+++ b/packages/process/src/metrics.cpp
@@ -51,7 +51,8 @@
                                      "Changes of what a router believes")),
         RefusedConnections(
             registerCounter(*Registry, "nutmegsill_refused_connections_total",
-                            "Callers' connections closed unread")
+                            "Callers' connections whose requests were "
+                            "rejected for lack of processor time")
                 .Add({})),
         RequestLatency(prometheus::BuildHistogram()
                            .Name("nutmegsill_request_seconds")
--- a/packages/process/src/metrics.h
+++ b/packages/process/src/metrics.h
@@ -31,7 +31,8 @@
   void setStateAge(const std::string &state, double seconds);
   void setOpenRequests(std::size_t count);
   void countFleetChange(const std::string &change);
-  /// Counts connections of callers that were closed before they were read.
+  /// Counts connections of callers that were turned away for lack of processor
+  /// time.
   void countRefusedConnections(std::size_t count);
 
 private:
--- a/packages/routing/include/nutmegsill/routing/connection_admission.h
+++ b/packages/routing/include/nutmegsill/routing/connection_admission.h
@@ -2,9 +2,8 @@
 ///
 /// Answers the load of callers that open more connections to one router than
 /// its host bears. Requests on the connections in use keep their pace. Of the
-/// new connections the youngest are taken, whose callers have waited least; one
-/// that has waited too long is closed before it is read, so that its caller can
-/// try another router at once.
+/// new connections the youngest are taken, whose callers have waited least; the
+/// request of one that has waited too long is rejected.
 #pragma once
 
 #include "nutmegsill/types.h"
@@ -61,7 +60,7 @@
     AdmittedSinceProbe = 0;
   }
   /// Removes the connections that are to be served, youngest first, and those
-  /// that are to be closed.
+  /// whose requests are to be rejected.
   Decision decide(Time now) {
     Decision out;
     while (!Waiting.empty() && mayAdmit(now)) {
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -116,6 +116,9 @@
   /// Cost reduction for the target that the rendezvous hash assigns to a part.
   /// All routers prefer the same target for a part.
   double PreferredTargetBonus = 0.05;
+  /// Cost of an engine in another availability zone: the bytes of the request
+  /// and its response cross zones. Less than that of reading a part again.
+  double CrossZoneCost = 0.015;
   /// Expected times, as fractions of the objective, between which the lateness
   /// of a request rises from 0 to 1.
   double LatenessRampStart = 0.6;
@@ -303,6 +306,8 @@
   RetryBudget Budget;
   TeamShares Shares;
   std::shared_ptr<const FleetView> View;
+  /// Availability zone of this router; empty until it is registered.
+  ZoneId OwnZone;
   std::map<TargetId, TargetState> Targets;
   std::map<PoolId, PoolState> Pools;
   PeerLoads Peers;
--- a/packages/routing/include/nutmegsill/routing/host_overload.h
+++ b/packages/routing/include/nutmegsill/routing/host_overload.h
@@ -7,6 +7,7 @@
 #include "nutmegsill/types.h"
 
 #include <deque>
+#include <string_view>
 #include <utility>
 
 namespace nutmegsill::routing {
@@ -40,4 +41,9 @@
   Duration LowestLag{0};
 };
 
+/// Retry-After of a router that turns a request away for its own overload:
+/// longer than the directory's answers live, so that callers may be sent to
+/// another router, and spread, so that they do not return together.
+Duration overloadRetryAfter(std::string_view requestId);
+
 } // namespace nutmegsill::routing
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -78,6 +78,11 @@
   updateMaxEngineCount();
   updateColdSenders();
   Recipients = routing::reportRecipients(View->Routers, Self);
+  for (const RouterEntry &it : View->Routers) {
+    if (it.Host == Self) {
+      OwnZone = it.Zone;
+    }
+  }
   GroupPeers = {Recipients.GroupPeers.begin(), Recipients.GroupPeers.end()};
 }
 
@@ -263,12 +268,6 @@
   if (eligible.empty()) {
     return Rejection{RejectionReason::NoTarget, milliseconds(300), {}, 0};
   }
-  ZoneId ownZone;
-  for (const RouterEntry &it : View->Routers) {
-    if (it.Host == Self) {
-      ownZone = it.Zone;
-    }
-  }
   ++RotationOffset;
   TargetState *best = nullptr;
   double bestScore = 0;
@@ -281,7 +280,7 @@
                         std::max(1U, it->Known.Entry.Slots);
     const double score =
         load + FailurePenalty * it->FailureRate +
-        (it->Known.Entry.Zone == ownZone ? 0.0 : CrossZonePenalty);
+        (it->Known.Entry.Zone == OwnZone ? 0.0 : CrossZonePenalty);
     if (best == nullptr || score < bestScore) {
       best = it;
       bestScore = score;
--- a/packages/routing/src/engine_choice.cpp
+++ b/packages/routing/src/engine_choice.cpp
@@ -98,7 +98,8 @@
       backlog * (Policy.BusyRecomputeCost - Policy.RecomputeCost);
   return lateness * Policy.LatenessCost + recomputedFraction * recomputeCost +
          expectedFraction * Policy.WaitCost +
-         candidate.Imbalance * Policy.ImbalanceCost + state.FailureRate -
+         candidate.Imbalance * Policy.ImbalanceCost + state.FailureRate +
+         (state.Known.Entry.Zone == OwnZone ? 0.0 : Policy.CrossZoneCost) -
          (isPreferred ? Policy.PreferredTargetBonus : 0.0);
 }
 
--- a/packages/routing/src/host_overload.cpp
+++ b/packages/routing/src/host_overload.cpp
@@ -1,9 +1,18 @@
 #include "nutmegsill/routing/host_overload.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <xxhash.h>
 
 namespace nutmegsill::routing {
 
+namespace {
+
+constexpr Duration MinRetryAfter = milliseconds(1'000);
+constexpr Duration RetryAfterSpread = milliseconds(1'000);
+
+} // namespace
+
 void HostOverload::recordLag(Duration lag, Time now) {
   Lags.emplace_back(now, lag);
   // Keeps one record from before the window, which shows that it is full.
@@ -17,4 +26,11 @@
   }
 }
 
+Duration overloadRetryAfter(std::string_view requestId) {
+  const std::uint64_t hash = XXH64(requestId.data(), requestId.size(), 0);
+  return MinRetryAfter +
+         Duration(static_cast<std::int64_t>(
+             hash % static_cast<std::uint64_t>(RetryAfterSpread.count())));
+}
+
 } // namespace nutmegsill::routing
--- a/packages/routing/test/dispatcher_test.cpp
+++ b/packages/routing/test/dispatcher_test.cpp
@@ -106,6 +106,32 @@
   }
 }
 
+TEST_CASE_METHOD(DispatcherFixture,
+                 "dispatcher_new_part_prefers_engine_of_own_zone") {
+  View = std::make_shared<FleetView>();
+  View->Config = Config;
+  for (const char *zone : {"zone-b", "zone-a", "zone-c"}) {
+    View->Targets.push_back(KnownTarget{
+        target(std::string("e-") + zone, "engines", zone), {}, false});
+  }
+  View->Routers.push_back(router("host-1"));
+  TestedDispatcher.setView(View, at(0));
+  DispatchRequest request = captionRequest(1, 0, 100);
+  request.Prompt.Parts = {{1, 100}};
+  std::optional<Assignment> alone = send(request, at(0));
+  REQUIRE(alone);
+  CHECK(alone->Target.Text == "e-zone-a");
+  TestedDispatcher.recordResult(*alone, ExchangeResult::Completed, at(100));
+  // A cached part outweighs the crossing.
+  LoadReport report;
+  report.PromptsSent = {{TargetId{"e-zone-c"}, 6'500, {77}}};
+  TestedDispatcher.receiveReport(HostId{"host-2"}, report, at(5'000));
+  const std::optional<Assignment> cached =
+      send(captionRequest(77, 6'000, 500), at(5'050));
+  REQUIRE(cached);
+  CHECK(cached->Target.Text == "e-zone-c");
+}
+
 TEST_CASE_METHOD(DispatcherFixture,
                  "dispatcher_many_routers_with_stale_loads_spread_requests") {
   // 75 routers have the same stale report, in which one of 100 engines has no
--- a/packages/routing/test/entry_routers_test.cpp
+++ b/packages/routing/test/entry_routers_test.cpp
@@ -124,4 +124,15 @@
   CHECK_FALSE(Overload.isOverloaded());
 }
 
+TEST_CASE("host_overload_retry_after_is_spread") {
+  std::set<std::int64_t> tenths;
+  for (int i = 0; i < 200; ++i) {
+    const Duration pause = overloadRetryAfter("request-" + std::to_string(i));
+    CHECK(pause >= std::chrono::seconds(1));
+    CHECK(pause < std::chrono::seconds(2));
+    tenths.insert(toMilliseconds(pause) / 100);
+  }
+  CHECK(tenths.size() == 10);
+}
+
 } // namespace nutmegsill::routing
