Adopt the readers' view of an outage; fewer reports in large fleets

Trace: edge-suva-a-3 had been cut off from a store that served the others; when it came back at 25.68 s it took that for the end of an outage and believed removed entries for 2.2 s more, while its calls, 1 to 2 s apart as a stand-in, had delayed the moment. Change: proofs and relays carry the sender's remaining grace period, and a router adopts it; without one, what is pending goes.

Change: 60 messages a second to a group and 25 to routers of others; routers that callers are not sent to, and that are idle, send none.

--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -55,6 +55,8 @@
 void encode(const routing::StoreProof &proof, wire::PeerMessage &message) {
   wire::StoreProof &out = *message.mutable_proof();
   out.set_revision(proof.Revision.Value);
+  out.set_outage_grace_ms(
+      static_cast<std::uint32_t>(toMilliseconds(proof.OutageGrace)));
   for (const routing::StampEcho &it : proof.Stamps) {
     wire::StampEcho *entry = out.add_stamps();
     entry->set_host(it.Router.Host.Text);
@@ -111,6 +113,7 @@
 PeerMessage decode(const wire::StoreProof &in) {
   routing::StoreProof proof;
   proof.Revision = routing::StoreRevision{in.revision()};
+  proof.OutageGrace = milliseconds(in.outage_grace_ms());
   for (const wire::StampEcho &it : in.stamps()) {
     proof.Stamps.push_back(
         {Instance{HostId{it.host()}, IncarnationId{it.incarnation()}},
--- a/packages/gateway/src/store_watcher.cpp
+++ b/packages/gateway/src/store_watcher.cpp
@@ -223,7 +223,7 @@
   if (known || !Link.recordRelayed(changes.After, changes.Revision)) {
     return;
   }
-  State.extendOutageGrace(changes.OutageGrace, bootTimeNow());
+  State.adoptOutageGrace(changes.OutageGrace, bootTimeNow());
   applyItems(changes.Items);
   publishView();
 }
@@ -236,7 +236,7 @@
   if (!knownAsOf) {
     return;
   }
-  State.recordStoreSuccess(now);
+  State.adoptOutageGrace(proof.OutageGrace, now);
   if (Link.confirmRevision(proof.Revision, *knownAsOf)) {
     publishView();
   } else if (!CatchingUp && !readsStore()) {
@@ -307,6 +307,7 @@
       co_await listItems();
     }
     if (Link.confirmRevision(*revision.Ok, sentAt)) {
+      proof.OutageGrace = State.outageGrace(bootTimeNow());
       Handlers.SendToGroup(PeerMessage(std::move(proof)));
     }
     co_return;
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -15,14 +15,6 @@
 
 namespace {
 
-/// Shortest interval of load reports: half of the time that an engine takes to
-/// prefill a large prompt.
-constexpr milliseconds MinReportInterval{100};
-/// Messages that a router sends per `MinReportInterval`; in a larger fleet the
-/// interval is longer, so that the cost for each router stays the same.
-constexpr std::size_t MessagesPerReportInterval = 10;
-/// Longest interval; peers drop reports after `DispatchPolicy::MaxReportAge`.
-constexpr milliseconds MaxReportInterval{700};
 /// Delay after a failed accept, for example when no file descriptor is free.
 constexpr milliseconds AcceptRetryDelay{50};
 constexpr milliseconds IdleCheckInterval{20};
@@ -155,18 +147,13 @@
 
 asio::awaitable<void> TrafficServer::reportLoad() {
   asio::steady_timer timer(Io);
-  bool lastReportEmpty = false;
-  std::size_t remotePeersDue = 0;
+  bool lastOwnEmpty = false;
+  bool lastGroupEmpty = false;
+  Time nextRemoteReportAt{};
   for (;;) {
-    const routing::ReportRecipients &recipients =
-        Context.Dispatcher.reportRecipients();
-    const Duration scaled =
-        Duration(MinReportInterval) *
-        static_cast<std::int64_t>(recipients.GroupPeers.size()) /
-        static_cast<std::int64_t>(MessagesPerReportInterval);
-    const Duration interval =
-        std::clamp<Duration>(scaled, MinReportInterval, MaxReportInterval);
-    timer.expires_after(interval);
+    const routing::ReportIntervals intervals =
+        routing::reportIntervals(Context.Dispatcher.reportRecipients());
+    timer.expires_after(intervals.ToGroup);
     co_await timer.async_wait(asio::use_awaitable);
     const Time now = bootTimeNow();
     Context.TargetConnections.closeExpired(now);
@@ -178,14 +165,11 @@
                                  toSeconds(Context.Shared.configAge(now)));
     Context.Counters.setStateAge(
         "load_reports", toSeconds(Context.Dispatcher.oldestReportAge(now)));
-    // The group's report goes out when its messages, spread over the intervals
-    // since the last one, stay within `MessagesPerReportInterval`.
-    remotePeersDue += MessagesPerReportInterval;
-    const bool forRemotePeers =
-        remotePeersDue >=
-        Context.Dispatcher.reportRecipients().RemotePeers.size();
+    const bool forRemotePeers = now >= nextRemoteReportAt;
     if (forRemotePeers) {
-      remotePeersDue = 0;
+      // Timers run slightly late.
+      nextRemoteReportAt =
+          now + intervals.ToRemotePeers - intervals.ToGroup / 2;
     }
     routing::OutgoingReports reports =
         Context.Dispatcher.collectReports(now, forRemotePeers);
@@ -193,14 +177,22 @@
       reports.OwnReport.OverloadedHosts.push_back(Context.Settings.Host);
       reports.GroupReport.OverloadedHosts.push_back(Context.Settings.Host);
     }
-    const bool empty = reports.OwnReport.Targets.empty() &&
-                       reports.OwnReport.Teams.empty() &&
-                       reports.GroupReport.Targets.empty() &&
-                       reports.GroupReport.Teams.empty();
-    if (!empty || !lastReportEmpty) {
+    // The last report before a silence is an empty one.
+    const bool ownEmpty = reports.OwnReport.isEmpty();
+    if (ownEmpty && lastOwnEmpty && !Context.Dispatcher.isPreferredRouter()) {
+      reports.Recipients.GroupPeers.clear();
+    }
+    lastOwnEmpty = ownEmpty;
+    if (forRemotePeers) {
+      const bool groupEmpty = reports.GroupReport.isEmpty();
+      if (groupEmpty && lastGroupEmpty) {
+        reports.Recipients.RemotePeers.clear();
+      }
+      lastGroupEmpty = groupEmpty;
+    }
+    if (reports.Recipients.size() > 0) {
       Control.sendLoadReports(std::move(reports));
     }
-    lastReportEmpty = empty && forRemotePeers;
   }
 }
 
--- a/packages/gateway/test/peer_codec_test.cpp
+++ b/packages/gateway/test/peer_codec_test.cpp
@@ -87,10 +87,12 @@
 
   routing::StoreProof proof;
   proof.Revision = routing::StoreRevision{9};
+  proof.OutageGrace = milliseconds(700);
   proof.Stamps = {{Instance{HostId{"host-1"}, IncarnationId{5}},
                    Time(milliseconds(12'345))}};
   const std::optional<routing::StoreProof> proved = roundTrip(proof);
   REQUIRE(proved);
+  CHECK(proved->OutageGrace == proof.OutageGrace);
   REQUIRE(proved->Stamps.size() == 1);
   CHECK(proved->Stamps[0].Router == proof.Stamps[0].Router);
   CHECK(proved->Stamps[0].Stamp == proof.Stamps[0].Stamp);
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -194,6 +194,9 @@
   /// `forRemotePeers` the group's report is left for a later call.
   OutgoingReports collectReports(Time now, bool forRemotePeers = true);
   const ReportRecipients &reportRecipients() const { return Recipients; }
+  /// Whether callers are sent to this router first, so that its silence shows
+  /// that it is dead.
+  bool isPreferredRouter() const { return IsPreferred; }
   /// Age of the oldest peer report in use.
   Duration oldestReportAge(Time now) const {
     return Peers.oldestReportAge(now);
@@ -314,6 +317,7 @@
   /// Time when the peers' rates were last summed up for `Shares`.
   std::optional<Time> SharesUpdatedAt;
   PrefixCacheTracker Caches;
+  bool IsPreferred = true;
   ReportRecipients Recipients;
   /// `Recipients.GroupPeers` as a set.
   std::set<HostId> GroupPeers;
--- a/packages/routing/include/nutmegsill/routing/load_report.h
+++ b/packages/routing/include/nutmegsill/routing/load_report.h
@@ -54,6 +54,9 @@
   std::vector<HostId> IncludedHosts;
   /// Routers, of those in the sum, that serve their requests late.
   std::vector<HostId> OverloadedHosts;
+
+  /// Whether there is nothing to tell of targets and teams.
+  bool isEmpty() const { return Targets.empty() && Teams.empty(); }
 };
 
 } // namespace nutmegsill::routing
--- a/packages/routing/include/nutmegsill/routing/report_recipients.h
+++ b/packages/routing/include/nutmegsill/routing/report_recipients.h
@@ -23,6 +23,17 @@
   std::size_t size() const { return GroupPeers.size() + RemotePeers.size(); }
 };
 
+/// How often a router reports.
+struct ReportIntervals {
+  Duration ToGroup{0};
+  /// A multiple of `ToGroup`.
+  Duration ToRemotePeers{0};
+};
+
+/// Intervals at which the cost of reports for one router does not grow with the
+/// fleet.
+ReportIntervals reportIntervals(const ReportRecipients &recipients);
+
 /// Returns the recipients of the reports of `self`; none if `self` is not in
 /// `routers`. `routers` must be sorted by host. A fleet of at most
 /// `maxSingleGroupSize` routers is a single group.
--- a/packages/routing/include/nutmegsill/routing/store_sharing.h
+++ b/packages/routing/include/nutmegsill/routing/store_sharing.h
@@ -35,6 +35,8 @@
 /// `Revision` was current at the time of its stamp.
 struct StoreProof {
   StoreRevision Revision;
+  /// How long the sender still believes entries that lapsed in an outage.
+  Duration OutageGrace{0};
   std::vector<StampEcho> Stamps;
 };
 
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -142,7 +142,7 @@
 void Dispatcher::updateColdSenders() {
   // Other routers rarely have requests for the permits that they hold.
   const std::set<HostId> senders = preferredRouters(View->Routers);
-  const bool mayBeSender = senders.empty() || senders.count(Self) != 0;
+  IsPreferred = senders.empty() || senders.count(Self) != 0;
   for (auto &[id, state] : Targets) {
     if (state.Known.ColdUntil == Time{}) {
       continue;
@@ -154,7 +154,7 @@
         ++ahead;
       }
     }
-    state.MaySendWhileCold = mayBeSender && ahead < Policy.ColdSenderCount;
+    state.MaySendWhileCold = IsPreferred && ahead < Policy.ColdSenderCount;
   }
 }
 
--- a/packages/routing/src/fleet_state.cpp
+++ b/packages/routing/src/fleet_state.cpp
@@ -55,9 +55,22 @@
   }
 }
 
-void FleetState::extendOutageGrace(Duration remaining, Time now) {
-  OutageGraceEnd = std::max(OutageGraceEnd,
-                            now + std::min(remaining, Policy.LeaseExpiryGrace));
+void FleetState::adoptOutageGrace(Duration remaining, Time now) {
+  if (FailingSince && now - *FailingSince >= Policy.OutageThreshold) {
+    recordChange(
+        "store_regained",
+        {{"away_ms", millisecondsText(now - *FailingSince)}, {"by", "peers"}});
+  }
+  FailingSince.reset();
+  OutageGraceEnd = now + std::min(remaining, Policy.LeaseExpiryGrace);
+  for (auto &[id, removeAt] : PendingTargetRemovals) {
+    removeAt = std::min(removeAt, OutageGraceEnd);
+  }
+  for (auto &[host, removeAt] : PendingRouterRemovals) {
+    if (host != Self) {
+      removeAt = std::min(removeAt, OutageGraceEnd);
+    }
+  }
 }
 
 Duration FleetState::outageGrace(Time now) const {
--- a/packages/routing/src/report_recipients.cpp
+++ b/packages/routing/src/report_recipients.cpp
@@ -9,6 +9,15 @@
 
 namespace {
 
+/// Half of the time that an engine takes to prefill a large prompt.
+constexpr Duration MinReportInterval = milliseconds(100);
+/// Peers drop reports after `DispatchPolicy::MaxReportAge`.
+constexpr Duration MaxReportInterval = milliseconds(720);
+/// Messages that a router sends in a second: 100 in a single group, less where
+/// each report sums up a group and there are as many to receive.
+constexpr double SingleGroupMessagesPerSecond = 100;
+constexpr double GroupMessagesPerSecond = 60;
+constexpr double RemoteMessagesPerSecond = 25;
 /// Largest group of preferred routers; its members report to each other.
 constexpr std::size_t MaxPreferredGroupSize = 32;
 
@@ -98,4 +107,24 @@
   return out;
 }
 
+ReportIntervals reportIntervals(const ReportRecipients &recipients) {
+  const bool single = recipients.RemotePeers.empty();
+  const double perSecond =
+      single ? SingleGroupMessagesPerSecond : GroupMessagesPerSecond;
+  const auto span = [](std::size_t messages, double rate) {
+    return Duration(
+        static_cast<std::int64_t>(static_cast<double>(messages) / rate * 1e6));
+  };
+  ReportIntervals out;
+  out.ToGroup =
+      std::clamp<Duration>(span(recipients.GroupPeers.size(), perSecond),
+                           MinReportInterval, MaxReportInterval);
+  const Duration remote = std::clamp<Duration>(
+      span(recipients.RemotePeers.size(), RemoteMessagesPerSecond), out.ToGroup,
+      MaxReportInterval);
+  // Rounded down, so that it does not exceed the longest interval.
+  out.ToRemotePeers = remote / out.ToGroup * out.ToGroup;
+  return out;
+}
+
 } // namespace nutmegsill::routing
--- a/packages/routing/test/fleet_state_test.cpp
+++ b/packages/routing/test/fleet_state_test.cpp
@@ -58,6 +58,31 @@
   CHECK(find("e-2") == nullptr);
 }
 
+// Guards against a request to a target 2.3 s after its removal: its router had
+// been cut off from a store that served the others (trouble-1 of tvh).
+TEST_CASE_METHOD(FleetStateFixture,
+                 "fleet_state_peer_without_outage_ends_grace_period") {
+  applyFullListing(at(0));
+  State.recordStoreFailure(at(1'000));
+  State.applyUpdate(TargetRemoved{TargetId{"e-1"}}, at(5'500));
+  CHECK(find("e-1") != nullptr);
+  State.adoptOutageGrace(Duration{0}, at(6'000));
+  CHECK(State.expire(at(6'000)));
+  CHECK(find("e-1") == nullptr);
+  State.applyUpdate(TargetRemoved{TargetId{"e-2"}}, at(6'100));
+  CHECK(find("e-2") == nullptr);
+}
+
+TEST_CASE_METHOD(
+    FleetStateFixture,
+    "fleet_state_peer_that_saw_outage_passes_on_its_grace_period") {
+  applyFullListing(at(0));
+  State.adoptOutageGrace(milliseconds(900), at(100));
+  State.applyUpdate(TargetRemoved{TargetId{"e-1"}}, at(200));
+  CHECK(find("e-1") != nullptr);
+  CHECK(State.outageGrace(at(200)) == milliseconds(800));
+}
+
 TEST_CASE_METHOD(FleetStateFixture,
                  "fleet_state_listing_without_a_target_removes_it") {
   applyFullListing(at(0));
--- a/packages/routing/test/reports_test.cpp
+++ b/packages/routing/test/reports_test.cpp
@@ -79,6 +79,25 @@
   }
 }
 
+TEST_CASE_METHOD(ReportsFixture,
+                 "report_intervals_any_fleet_bounds_messages_and_age") {
+  for (const std::size_t count : {1U, 9U, 75U, 340U}) {
+    const std::vector<RouterEntry> fleet = routers(count);
+    for (const RouterEntry &it : fleet) {
+      const ReportRecipients recipients = reportRecipients(fleet, it.Host);
+      const ReportIntervals intervals = reportIntervals(recipients);
+      const double perSecond =
+          static_cast<double>(recipients.GroupPeers.size()) /
+              toSeconds(intervals.ToGroup) +
+          static_cast<double>(recipients.RemotePeers.size()) /
+              toSeconds(intervals.ToRemotePeers);
+      CHECK(perSecond <= 110);
+      // Two reports within the time for which one is believed.
+      CHECK(2 * intervals.ToRemotePeers < DispatchPolicy().MaxReportAge);
+    }
+  }
+}
+
 TEST_CASE_METHOD(ReportsFixture,
                  "report_recipients_unregistered_router_has_none") {
   CHECK(reportRecipients(routers(9), HostId{"stranger"}).size() == 0);
--- a/packages/routing/test/store_sharing_test.cpp
+++ b/packages/routing/test/store_sharing_test.cpp
@@ -263,7 +263,7 @@
       reader.Known = std::max(reader.Known, revision);
       reader.CurrentAsOf =
           std::max(reader.CurrentAsOf.value_or(sentAt), sentAt);
-      const StoreProof proof{StoreRevision{revision}, stamps};
+      const StoreProof proof{StoreRevision{revision}, Duration{0}, stamps};
       for (std::size_t j = 0; j < Routers.size(); ++j) {
         if (j != i) {
           deliver(j, [this, i, j, proof] { receiveProof(i, j, proof); });
