--- a/packages/routing/include/nutmegsill/routing/fleet_state.h
+++ b/packages/routing/include/nutmegsill/routing/fleet_state.h
@@ -38,8 +38,9 @@
   /// Records whether the store responded to a call.
   void recordStoreSuccess(Time now);
   void recordStoreFailure(Time now);
-  /// Adopts the remaining grace period of a router that has just read the store;
-  /// 0 if that router has seen no outage, so that only this one was cut off.
+  /// Adopts the remaining grace period of a router that has just read the
+  /// store; 0 if that router has seen no outage, so that only this one was cut
+  /// off.
   void adoptOutageGrace(Duration remaining, Time now);
   /// Remaining time of the grace period after an outage; 0 if there is none.
   Duration outageGrace(Time now) const;
--- a/packages/simulation/src/virtual_router.h
+++ b/packages/simulation/src/virtual_router.h
@@ -15,8 +15,8 @@
   Time ColdUntil{};
 };
 
-/// Exchanges load reports and serves calls, as the gateway does. Reads the store
-/// by itself: the proofs between routers are not simulated here.
+/// Exchanges load reports and serves calls, as the gateway does. Reads the
+/// store by itself: the proofs between routers are not simulated here.
 struct VirtualFleet::Router {
   Router(VirtualFleet &fleet, HostId host, ZoneId zone);
 
