--- a/packages/routing/src/entry_routers.cpp
+++ b/packages/routing/src/entry_routers.cpp
@@ -15,6 +15,7 @@
 std::set<HostId> preferredRouters(const std::vector<RouterEntry> &routers,
                                   const EntryPolicy &policy) {
   std::vector<const RouterEntry *> bySize;
+  bySize.reserve(routers.size());
   double total = 0;
   for (const RouterEntry &it : routers) {
     bySize.push_back(&it);
@@ -91,6 +92,7 @@
     return groups.back().Addresses;
   }
   std::vector<std::string> all;
+  all.reserve(routers.size());
   for (const RouterEntry &it : routers) {
     all.push_back(it.CallerAddress);
   }
