Close connections unread again where a host lacks processor time

Cause: rejecting their requests cost the host more than closing the connections.

A closed connection that was not read tells its caller that nothing ran.

--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -39,8 +39,8 @@
 
 class Session {
 public:
-  Session(SessionContext &context, tcp::socket caller, SessionMode mode)
-      : Context(context), Mode(mode), CallerSocket(std::move(caller)),
+  Session(SessionContext &context, tcp::socket caller)
+      : Context(context), CallerSocket(std::move(caller)),
         Timer(CallerSocket.get_executor()), Writer(CallerSocket) {}
 
   asio::awaitable<void> run();
@@ -82,7 +82,6 @@
   void cancel(CancelCause cause);
 
   SessionContext &Context;
-  SessionMode Mode;
   tcp::socket CallerSocket;
   asio::steady_timer Timer;
   ResponseWriter Writer;
@@ -245,7 +244,7 @@
     Writer.disableKeepAlive();
     return LocalResponse{503, "stopping", Duration{0}};
   }
-  if (Mode == SessionMode::Rejecting || Context.Overload.isOverloaded()) {
+  if (Context.Overload.isOverloaded()) {
     // On its next connection the caller may be sent to another router.
     Writer.disableKeepAlive();
     return LocalResponse{503, "router_overloaded",
@@ -536,9 +535,8 @@
 
 } // namespace
 
-asio::awaitable<void> serveCaller(SessionContext &context, tcp::socket caller,
-                                  SessionMode mode) {
-  Session session(context, std::move(caller), mode);
+asio::awaitable<void> serveCaller(SessionContext &context, tcp::socket caller) {
+  Session session(context, std::move(caller));
   co_await session.run();
 }
 
--- a/packages/gateway/src/session.h
+++ b/packages/gateway/src/session.h
@@ -8,14 +8,7 @@
 
 struct SessionContext;
 
-enum class SessionMode {
-  Serving,
-  /// The first request is rejected as not run, and the connection closed.
-  Rejecting,
-};
-
 boost::asio::awaitable<void> serveCaller(SessionContext &context,
-                                         boost::asio::ip::tcp::socket caller,
-                                         SessionMode mode);
+                                         boost::asio::ip::tcp::socket caller);
 
 } // namespace nutmegsill::gateway
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -131,17 +131,12 @@
 void TrafficServer::admitConnections(Time now) {
   routing::ConnectionAdmission<tcp::socket>::Decision decision =
       NewConnections.decide(now);
-  const auto serve = [this](std::vector<tcp::socket> &sockets,
-                            SessionMode mode) {
-    for (tcp::socket &it : sockets) {
-      // A caller that has left costs no more than this.
-      if (peekSocket(it) != SocketState::Closed) {
-        spawn(Io, serveCaller(Context, std::move(it), mode));
-      }
+  for (tcp::socket &it : decision.Admitted) {
+    // A caller that has left costs no more than this.
+    if (peekSocket(it) != SocketState::Closed) {
+      spawn(Io, serveCaller(Context, std::move(it)));
     }
-  };
-  serve(decision.Admitted, SessionMode::Serving);
-  serve(decision.Refused, SessionMode::Rejecting);
+  }
   RefusedConnections += decision.Refused.size();
 }
 
@@ -216,7 +211,7 @@
       logLine("callers",
               overloaded ? "overloaded"
               : before   ? "overload_ended"
-                         : "connections_rejected",
+                         : "connections_refused",
               {{"lag_ms", std::to_string(toMilliseconds(lag))},
                {"open", std::to_string(Context.RequestsInFlight)},
                {"refused", std::to_string(RefusedConnections)}});
--- a/packages/routing/include/nutmegsill/routing/connection_admission.h
+++ b/packages/routing/include/nutmegsill/routing/connection_admission.h
@@ -2,8 +2,9 @@
 ///
 /// Answers the load of callers that open more connections to one router than
 /// its host bears. Requests on the connections in use keep their pace. Of the
-/// new connections the youngest are taken, whose callers have waited least; the
-/// request of one that has waited too long is rejected.
+/// new connections the youngest are taken, whose callers have waited least; one
+/// that has waited too long is closed before it is read, which tells its caller
+/// that nothing ran, and costs less than a response.
 #pragma once
 
 #include "nutmegsill/types.h"
@@ -60,7 +61,7 @@
     AdmittedSinceProbe = 0;
   }
   /// Removes the connections that are to be served, youngest first, and those
-  /// whose requests are to be rejected.
+  /// that are to be closed.
   Decision decide(Time now) {
     Decision out;
     while (!Waiting.empty() && mayAdmit(now)) {
