--- a/packages/gateway/src/control_server.cpp
+++ b/packages/gateway/src/control_server.cpp
@@ -1,5 +1,6 @@
 #include "control_server.h"
 
+#include "event_loop.h"
 #include "log.h"
 #include "nutmegsill/platform/directory.h"
 #include "nutmegsill/platform/engine.h"
@@ -31,6 +32,8 @@
 /// Time after a report of overload for which the directory avoids a router:
 /// longer than callers keep a response, so that it does not swing back at once.
 constexpr std::chrono::seconds OverloadMemory{5};
+/// Interval of the timers by which the event loop's lag is measured.
+constexpr milliseconds LagProbeInterval{200};
 constexpr int MaxQueuedPeerMessages = 4;
 constexpr milliseconds PeerHeartbeatInterval{1'000};
 constexpr milliseconds PeerHeartbeatTimeout{2'000};
@@ -134,7 +137,8 @@
         serveJson(*ReadinessAcceptor, [this](std::string_view requestTarget) {
           return handleReadinessRequest(requestTarget);
         }));
-  Io.run();
+  spawn(Io, measureLoopLag(Io, "control", LagProbeInterval, Counters));
+  runEventLoop(Io);
 }
 
 void ControlServer::stop() {
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -1,5 +1,6 @@
 #include "traffic_server.h"
 
+#include "event_loop.h"
 #include "log.h"
 #include "session.h"
 #include "spawn.h"
@@ -82,8 +83,11 @@
   });
   spawn(server->Io, server->acceptCallers());
   spawn(server->Io, server->reportLoad());
-  spawn(server->Io, server->measureLag());
-  server->Thread = std::thread([self] { self->Io.run(); });
+  spawn(server->Io, measureLoopLag(server->Io, "traffic", LagProbeInterval,
+                                   metrics, [self](Duration lag, Time now) {
+                                     self->recordLag(lag, now);
+                                   }));
+  server->Thread = std::thread([self] { runEventLoop(self->Io); });
   return server;
 }
 
@@ -191,33 +195,24 @@
   }
 }
 
-asio::awaitable<void> TrafficServer::measureLag() {
-  asio::steady_timer timer(Io);
-  Time nextLogAt{};
-  for (;;) {
-    const Time expiry = bootTimeNow() + LagProbeInterval;
-    timer.expires_after(LagProbeInterval);
-    co_await timer.async_wait(asio::use_awaitable);
-    const Time now = bootTimeNow();
-    const Duration lag = now - expiry;
-    NewConnections.recordLag(lag);
-    admitConnections(now);
-    const bool before = Context.Overload.isOverloaded();
-    Context.Overload.recordLag(lag, now);
-    const bool overloaded = Context.Overload.isOverloaded();
-    const bool refused = RefusedConnections > 0 && now >= nextLogAt;
-    if (overloaded != before || refused) {
-      nextLogAt = now + OverloadLogInterval;
-      logLine("callers",
-              overloaded ? "overloaded"
-              : before   ? "overload_ended"
-                         : "connections_refused",
-              {{"lag_ms", std::to_string(toMilliseconds(lag))},
-               {"open", std::to_string(Context.RequestsInFlight)},
-               {"refused", std::to_string(RefusedConnections)}});
-      Context.Counters.countRefusedConnections(RefusedConnections);
-      RefusedConnections = 0;
-    }
+void TrafficServer::recordLag(Duration lag, Time now) {
+  NewConnections.recordLag(lag);
+  admitConnections(now);
+  const bool before = Context.Overload.isOverloaded();
+  Context.Overload.recordLag(lag, now);
+  const bool overloaded = Context.Overload.isOverloaded();
+  const bool refused = RefusedConnections > 0 && now >= NextOverloadLogAt;
+  if (overloaded != before || refused) {
+    NextOverloadLogAt = now + OverloadLogInterval;
+    logLine("callers",
+            overloaded ? "overloaded"
+            : before   ? "overload_ended"
+                       : "connections_refused",
+            {{"lag_ms", std::to_string(toMilliseconds(lag))},
+             {"open", std::to_string(Context.RequestsInFlight)},
+             {"refused", std::to_string(RefusedConnections)}});
+    Context.Counters.countRefusedConnections(RefusedConnections);
+    RefusedConnections = 0;
   }
 }
 
--- a/packages/gateway/src/traffic_server.h
+++ b/packages/gateway/src/traffic_server.h
@@ -63,7 +63,7 @@
   boost::asio::awaitable<void> acceptCallers();
   void admitConnections(Time now);
   boost::asio::awaitable<void> reportLoad();
-  boost::asio::awaitable<void> measureLag();
+  void recordLag(Duration lag, Time now);
   boost::asio::awaitable<void> waitUntilIdle(Duration maxWait,
                                              std::function<void()> onIdle);
 
@@ -75,6 +75,7 @@
   routing::ConnectionAdmission<boost::asio::ip::tcp::socket> NewConnections{{}};
   /// Connections turned away since the last log line.
   std::size_t RefusedConnections = 0;
+  Time NextOverloadLogAt{};
   std::thread Thread;
 };
 
--- a/packages/process/src/metrics.cpp
+++ b/packages/process/src/metrics.cpp
@@ -66,6 +66,10 @@
                       .Name("nutmegsill_belief_age_seconds")
                       .Help("Age of what a router believes")
                       .Register(*Registry)),
+        LoopLags(prometheus::BuildGauge()
+                     .Name("nutmegsill_event_loop_lag_seconds")
+                     .Help("Time by which the timers of a thread run late")
+                     .Register(*Registry)),
         OpenRequests(prometheus::BuildGauge()
                          .Name("nutmegsill_open_requests")
                          .Help("Requests that are being served")
@@ -86,6 +90,7 @@
   Family<Histogram> &RequestLatency;
   Family<Histogram> &FirstPartLatency;
   Family<Gauge> &StateAges;
+  Family<Gauge> &LoopLags;
   Gauge &OpenRequests;
 };
 
@@ -139,6 +144,10 @@
   Impl->StateAges.Add({{"belief", state}}).Set(seconds);
 }
 
+void Metrics::setLoopLag(const std::string &loop, double seconds) {
+  Impl->LoopLags.Add({{"loop", loop}}).Set(seconds);
+}
+
 void Metrics::setOpenRequests(std::size_t count) {
   Impl->OpenRequests.Set(static_cast<double>(count));
 }
--- a/packages/process/src/metrics.h
+++ b/packages/process/src/metrics.h
@@ -29,6 +29,8 @@
   void observeFirstPart(const std::string &semantics, double seconds);
   /// Sets the age in `seconds` of the part of the fleet state named `state`.
   void setStateAge(const std::string &state, double seconds);
+  /// Sets how late, in `seconds`, the timers of an event loop run.
+  void setLoopLag(const std::string &loop, double seconds);
   void setOpenRequests(std::size_t count);
   void countFleetChange(const std::string &change);
   /// Counts connections of callers that were turned away for lack of processor
