--- a/packages/gateway/src/event_loop.cpp
+++ b/packages/gateway/src/event_loop.cpp
@@ -18,9 +18,20 @@
 /// Shortest time between two log lines about one loop.
 constexpr std::chrono::seconds LagLogInterval{1};
 
+/// Handlers of a loop that run before another thread gets the core: some
+/// milliseconds on a host with a tenth of a core.
+constexpr int MaxHandlersPerTurn = 16;
+
 } // namespace
 
-void runEventLoop(asio::io_context &io) { io.run(); }
+void runEventLoop(asio::io_context &io, const std::function<void()> &yield) {
+  for (int handlers = 0; io.run_one() > 0;) {
+    if (++handlers == MaxHandlersPerTurn) {
+      handlers = 0;
+      yield();
+    }
+  }
+}
 
 asio::awaitable<void> measureLoopLag(asio::io_context &io, std::string loop,
                                      Duration interval, Metrics &metrics,
--- a/packages/gateway/src/event_loop.h
+++ b/packages/gateway/src/event_loop.h
@@ -9,11 +9,15 @@
 
 #include <functional>
 #include <string>
+#include <thread>
 
 namespace nutmegsill::gateway {
 
-/// Runs the handlers of `io` until it is stopped or has no more work.
-void runEventLoop(boost::asio::io_context &io);
+/// Runs the handlers of `io` until it is stopped or has no more work. Calls
+/// `yield` after every few handlers: threads that share a core with a loop that
+/// always has work would otherwise seldom run.
+void runEventLoop(boost::asio::io_context &io,
+                  const std::function<void()> &yield = std::this_thread::yield);
 
 /// Called with the lag of each probe.
 using LagHandler = std::function<void(Duration lag, Time now)>;
