--- /dev/null
+++ b/packages/gateway/src/caller_listener.cpp
@@ -0,0 +1,134 @@
+#include "caller_listener.h"
+
+#include "clock.h"
+#include "json_server.h"
+#include "log.h"
+#include "spawn.h"
+#include "target_connection_pool.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace nutmegsill::gateway {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// Delay after a failed accept, for example when no file descriptor is free.
+constexpr milliseconds AcceptRetryDelay{50};
+/// Connections accepted at once: callers that wait in the listen queue while
+/// one at a time is accepted have left when their turn comes.
+constexpr int MaxAcceptsAtOnce = 64;
+
+} // namespace
+
+CallerListener::CallerListener(asio::io_context &io, tcp::endpoint endpoint,
+                               ConnectionHandler onConnection)
+    : Io(io), Endpoint(std::move(endpoint)),
+      OnConnection(std::move(onConnection)), Acceptor(io) {}
+
+boost::system::error_code CallerListener::listen() {
+  boost::system::error_code ec;
+  Acceptor = listenAt(Io, Endpoint, ec);
+  if (!ec) {
+    Acceptor.non_blocking(true, ec);
+  }
+  return ec;
+}
+
+std::optional<std::string> CallerListener::start() {
+  const boost::system::error_code ec = listen();
+  if (ec) {
+    return ec.message();
+  }
+  Accepting = true;
+  spawn(Io, accept());
+  return std::nullopt;
+}
+
+void CallerListener::stop() {
+  Stopped = true;
+  boost::system::error_code ec;
+  Acceptor.close(ec);
+}
+
+std::size_t CallerListener::takePauses() { return std::exchange(Pauses, 0); }
+
+void CallerListener::take(Socket socket, Time now) {
+  Admission.recordAdmission(now);
+  // A caller that has left costs no more than this.
+  if (peekSocket(socket) != SocketState::Closed) {
+    OnConnection(std::move(socket));
+  }
+}
+
+void CallerListener::acceptPending(Time now) {
+  boost::system::error_code ec;
+  for (int i = 1; i < MaxAcceptsAtOnce && Admission.mayAdmit(now); ++i) {
+    Socket next(Io);
+    Acceptor.accept(next, ec);
+    if (ec) {
+      return;
+    }
+    take(std::move(next), now);
+  }
+}
+
+asio::awaitable<void> CallerListener::accept() {
+  for (;;) {
+    boost::system::error_code ec;
+    Socket first = co_await Acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, ec));
+    const Time now = bootTimeNow();
+    if (!Acceptor.is_open()) {
+      break;
+    }
+    if (ec) {
+      logLine("callers", "accept_failed", {{"reason", ec.message()}});
+      asio::steady_timer timer(Io, AcceptRetryDelay);
+      co_await timer.async_wait(asio::use_awaitable);
+      continue;
+    }
+    take(std::move(first), now);
+    acceptPending(now);
+    if (!Admission.mayAdmit(now)) {
+      break;
+    }
+  }
+  Accepting = false;
+  holdBack();
+}
+
+void CallerListener::holdBack() {
+  Admission.recordExhaustion();
+  if (Acceptor.is_open() && Admission.refuses()) {
+    ++Pauses;
+    boost::system::error_code ec;
+    Acceptor.close(ec);
+  }
+}
+
+void CallerListener::recordLag(Duration lag, Time now) {
+  Admission.recordLag(lag);
+  if (Accepting || Stopped) {
+    return;
+  }
+  if (!Admission.mayAdmit(now)) {
+    holdBack();
+    return;
+  }
+  if (!Acceptor.is_open()) {
+    const boost::system::error_code ec = listen();
+    if (ec) {
+      logLine("callers", "listen_failed", {{"reason", ec.message()}});
+      return;
+    }
+  }
+  Accepting = true;
+  spawn(Io, accept());
+}
+
+} // namespace nutmegsill::gateway
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -16,19 +16,14 @@
 
 namespace {
 
-/// Delay after a failed accept, for example when no file descriptor is free.
-constexpr milliseconds AcceptRetryDelay{50};
 constexpr milliseconds IdleCheckInterval{20};
 /// Interval of the timers by which the event loop's lag is measured.
 constexpr milliseconds LagProbeInterval{50};
-/// Shortest time between two log lines about refused connections.
+/// Shortest time between two log lines about paused listening.
 constexpr std::chrono::seconds OverloadLogInterval{1};
 /// Responses that are buffered at the same time: well under the memory of the
 /// smallest hosts, 88 MB.
 constexpr std::size_t MaxBufferedResponseBytes = 16U << 20U;
-/// Connections accepted at once: callers that wait in the listen queue while
-/// one at a time is accepted have left when their turn comes.
-constexpr int MaxAcceptsAtOnce = 64;
 
 } // namespace
 
@@ -57,7 +52,11 @@
               0,
               false,
               nullptr},
-      Control(control) {}
+      Control(control),
+      Listener(Io, settings.CallerEndpoint,
+               [this](CallerListener::Socket caller) {
+                 spawn(Io, serveCaller(Context, std::move(caller)));
+               }) {}
 
 std::unique_ptr<TrafficServer>
 TrafficServer::start(const GatewaySettings &settings, SharedState &shared,
@@ -65,10 +64,9 @@
                      std::string &reason) {
   std::unique_ptr<TrafficServer> server(
       new TrafficServer(settings, shared, metrics, control));
-  boost::system::error_code ec;
-  server->Acceptor = listenAt(server->Io, settings.CallerEndpoint, ec);
-  if (ec) {
-    reason = "cannot listen for callers: " + ec.message();
+  const std::optional<std::string> failure = server->Listener.start();
+  if (failure) {
+    reason = "cannot listen for callers: " + *failure;
     return nullptr;
   }
   TrafficServer *self = server.get();
@@ -81,7 +79,6 @@
       }
     });
   });
-  spawn(server->Io, server->acceptCallers());
   spawn(server->Io, server->reportLoad());
   spawn(server->Io, measureLoopLag(server->Io, "traffic", LagProbeInterval,
                                    metrics, [self](Duration lag, Time now) {
@@ -102,48 +99,6 @@
   asio::post(Io, [this] { Context.RejectsNewRequests = true; });
 }
 
-asio::awaitable<void> TrafficServer::acceptCallers() {
-  boost::system::error_code ec;
-  Acceptor.non_blocking(true, ec);
-  for (;;) {
-    tcp::socket first = co_await Acceptor.async_accept(
-        asio::redirect_error(asio::use_awaitable, ec));
-    const Time now = bootTimeNow();
-    if (!ec) {
-      NewConnections.add(std::move(first), now);
-    }
-    for (int i = 1; i < MaxAcceptsAtOnce && !ec; ++i) {
-      tcp::socket next(Io);
-      Acceptor.accept(next, ec);
-      if (!ec) {
-        NewConnections.add(std::move(next), now);
-      }
-    }
-    admitConnections(now);
-    if (!ec || ec == asio::error::would_block) {
-      continue;
-    }
-    if (!Acceptor.is_open()) {
-      co_return;
-    }
-    logLine("callers", "accept_failed", {{"reason", ec.message()}});
-    asio::steady_timer timer(Io, AcceptRetryDelay);
-    co_await timer.async_wait(asio::use_awaitable);
-  }
-}
-
-void TrafficServer::admitConnections(Time now) {
-  routing::ConnectionAdmission<tcp::socket>::Decision decision =
-      NewConnections.decide(now);
-  for (tcp::socket &it : decision.Admitted) {
-    // A caller that has left costs no more than this.
-    if (peekSocket(it) != SocketState::Closed) {
-      spawn(Io, serveCaller(Context, std::move(it)));
-    }
-  }
-  RefusedConnections += decision.Refused.size();
-}
-
 asio::awaitable<void> TrafficServer::reportLoad() {
   asio::steady_timer timer(Io);
   bool lastOwnEmpty = false;
@@ -196,23 +151,23 @@
 }
 
 void TrafficServer::recordLag(Duration lag, Time now) {
-  NewConnections.recordLag(lag);
-  admitConnections(now);
+  Listener.recordLag(lag, now);
+  ListeningPauses += Listener.takePauses();
   const bool before = Context.Overload.isOverloaded();
   Context.Overload.recordLag(lag, now);
   const bool overloaded = Context.Overload.isOverloaded();
-  const bool refused = RefusedConnections > 0 && now >= NextOverloadLogAt;
-  if (overloaded != before || refused) {
+  const bool paused = ListeningPauses > 0 && now >= NextOverloadLogAt;
+  if (overloaded != before || paused) {
     NextOverloadLogAt = now + OverloadLogInterval;
     logLine("callers",
             overloaded ? "overloaded"
             : before   ? "overload_ended"
-                       : "connections_refused",
+                       : "listening_paused",
             {{"lag_ms", std::to_string(toMilliseconds(lag))},
              {"open", std::to_string(Context.RequestsInFlight)},
-             {"refused", std::to_string(RefusedConnections)}});
-    Context.Counters.countRefusedConnections(RefusedConnections);
-    RefusedConnections = 0;
+             {"pauses", std::to_string(ListeningPauses)}});
+    Context.Counters.countListeningPauses(ListeningPauses);
+    ListeningPauses = 0;
   }
 }
 
@@ -233,8 +188,7 @@
     logLine("process", "requests_cut",
             {{"open", std::to_string(Context.RequestsInFlight)}});
   }
-  boost::system::error_code ec;
-  Acceptor.close(ec);
+  Listener.stop();
   onIdle();
 }
 
--- a/packages/gateway/src/traffic_server.h
+++ b/packages/gateway/src/traffic_server.h
@@ -4,9 +4,9 @@
 
 #include "buffer_budget.h"
 #include "caller_connections.h"
+#include "caller_listener.h"
 #include "control_server.h"
 #include "metrics.h"
-#include "nutmegsill/routing/connection_admission.h"
 #include "nutmegsill/routing/dispatcher.h"
 #include "nutmegsill/routing/host_overload.h"
 #include "settings.h"
@@ -60,8 +60,6 @@
 private:
   TrafficServer(const GatewaySettings &settings, SharedState &shared,
                 Metrics &metrics, ControlServer &control);
-  boost::asio::awaitable<void> acceptCallers();
-  void admitConnections(Time now);
   boost::asio::awaitable<void> reportLoad();
   void recordLag(Duration lag, Time now);
   boost::asio::awaitable<void> waitUntilIdle(Duration maxWait,
@@ -71,10 +69,9 @@
   boost::asio::io_context Io{1};
   SessionContext Context;
   ControlServer &Control;
-  boost::asio::ip::tcp::acceptor Acceptor{Io};
-  routing::ConnectionAdmission<boost::asio::ip::tcp::socket> NewConnections{{}};
-  /// Connections turned away since the last log line.
-  std::size_t RefusedConnections = 0;
+  CallerListener Listener;
+  /// Times that `Listener` refused connections since the last log line.
+  std::size_t ListeningPauses = 0;
   Time NextOverloadLogAt{};
   std::thread Thread;
 };
--- a/packages/process/src/metrics.cpp
+++ b/packages/process/src/metrics.cpp
@@ -49,10 +49,10 @@
                                  "Callers' requests by outcome")),
         FleetChanges(registerCounter(*Registry, "nutmegsill_decisions_total",
                                      "Changes of what a router believes")),
-        RefusedConnections(
-            registerCounter(*Registry, "nutmegsill_refused_connections_total",
-                            "Callers' connections whose requests were "
-                            "rejected for lack of processor time")
+        ListeningPauses(
+            registerCounter(*Registry, "nutmegsill_listening_pauses_total",
+                            "Times that callers' connections were refused "
+                            "for lack of processor time")
                 .Add({})),
         RequestLatency(prometheus::BuildHistogram()
                            .Name("nutmegsill_request_seconds")
@@ -86,7 +86,7 @@
   Family<Counter> &PlatformCalls;
   Family<Counter> &Requests;
   Family<Counter> &FleetChanges;
-  Counter &RefusedConnections;
+  Counter &ListeningPauses;
   Family<Histogram> &RequestLatency;
   Family<Histogram> &FirstPartLatency;
   Family<Gauge> &StateAges;
@@ -156,8 +156,8 @@
   Impl->FleetChanges.Add({{"what", change}}).Increment();
 }
 
-void Metrics::countRefusedConnections(std::size_t count) {
-  Impl->RefusedConnections.Increment(static_cast<double>(count));
+void Metrics::countListeningPauses(std::size_t count) {
+  Impl->ListeningPauses.Increment(static_cast<double>(count));
 }
 
 } // namespace nutmegsill
--- a/packages/process/src/metrics.h
+++ b/packages/process/src/metrics.h
@@ -33,9 +33,9 @@
   void setLoopLag(const std::string &loop, double seconds);
   void setOpenRequests(std::size_t count);
   void countFleetChange(const std::string &change);
-  /// Counts connections of callers that were turned away for lack of processor
-  /// time.
-  void countRefusedConnections(std::size_t count);
+  /// Counts the times that callers' connections were refused until the next
+  /// probe for lack of processor time.
+  void countListeningPauses(std::size_t count);
 
 private:
   struct Implementation;
--- a/packages/routing/include/nutmegsill/routing/connection_admission.h
+++ b/packages/routing/include/nutmegsill/routing/connection_admission.h
@@ -1,19 +1,14 @@
-/// Decides which of the new connections a router serves.
+/// Decides how many new connections a router takes.
 ///
 /// Answers the load of callers that open more connections to one router than
-/// its host bears. Requests on the connections in use keep their pace. Of the
-/// new connections the youngest are taken, whose callers have waited least; one
-/// that has waited too long is closed before it is read, which tells its caller
-/// that nothing ran, and costs less than a response.
+/// its host bears. Requests on the connections in use keep their pace. What
+/// is not taken is refused by the system, before the router accepts it: to
+/// accept and close thousands of connections a second takes more processor
+/// time than a small host has, and their callers come back at once.
 #pragma once
 
 #include "nutmegsill/types.h"
 
-#include <algorithm>
-#include <deque>
-#include <utility>
-#include <vector>
-
 namespace nutmegsill::routing {
 
 struct ConnectionAdmissionPolicy {
@@ -26,69 +21,45 @@
   double InitialLimit = 1'000;
   double LimitIncrease = 1;
   double LimitDecrease = 0.7;
-  /// Longest wait of a connection: a fraction of the shortest latency
-  /// objectives, of which the target needs most.
-  Duration MaxWait = milliseconds(100);
+  /// Lag beyond which the limit falls in proportion: a flood that begins would
+  /// otherwise be taken for several intervals.
+  Duration SevereLag = milliseconds(100);
   /// Longest time in which no connection is taken: well under the shortest
   /// contact bound, 3 s.
   Duration MaxPause = milliseconds(500);
 };
 
 /// Not thread-safe.
-template <class Connection> class ConnectionAdmission {
+class ConnectionAdmission {
 public:
-  struct Decision {
-    std::vector<Connection> Admitted;
-    std::vector<Connection> Refused;
-  };
-
   explicit ConnectionAdmission(ConnectionAdmissionPolicy policy)
       : Policy(policy), Limit(policy.InitialLimit) {}
 
-  /// Adds a connection that has been accepted; call `decide` after it.
-  void add(Connection connection, Time now) {
-    Waiting.emplace_back(now, std::move(connection));
-  }
-  /// Records the event loop's lag and adapts the limit; call in regular
-  /// intervals.
-  void recordLag(Duration lag) {
-    if (lag > Policy.MaxLag) {
-      Limit = std::min(Limit, static_cast<double>(AdmittedSinceProbe)) *
-              Policy.LimitDecrease;
-    } else if (lag <= Policy.CalmLag) {
-      Limit = std::min(Policy.InitialLimit, Limit + Policy.LimitIncrease);
-    }
-    AdmittedSinceProbe = 0;
-  }
-  /// Removes the connections that are to be served, youngest first, and those
-  /// that are to be closed.
-  Decision decide(Time now) {
-    Decision out;
-    while (!Waiting.empty() && mayAdmit(now)) {
-      out.Admitted.push_back(std::move(Waiting.back().second));
-      Waiting.pop_back();
-      ++AdmittedSinceProbe;
-      LastAdmissionAt = now;
-    }
-    while (!Waiting.empty() && now - Waiting.front().first >= Policy.MaxWait) {
-      out.Refused.push_back(std::move(Waiting.front().second));
-      Waiting.pop_front();
-    }
-    return out;
-  }
-
-private:
+  /// Whether another connection may be taken now.
   bool mayAdmit(Time now) const {
     return static_cast<double>(AdmittedSinceProbe) + 1 <= Limit ||
            now - LastAdmissionAt >= Policy.MaxPause;
   }
+  void recordAdmission(Time now);
+  /// Records that a connection could not be taken.
+  void recordExhaustion() { Exhausted = true; }
+  /// Whether connections are refused instead of waiting for the next probe:
+  /// those of the last interval had to wait too.
+  bool refuses() const { return Exhausted && WasExhausted; }
+  /// Records the event loop's lag and adapts the limit; call in regular
+  /// intervals, the probes.
+  void recordLag(Duration lag);
 
+private:
   ConnectionAdmissionPolicy Policy;
   /// Connections that may be taken until the next probe.
   double Limit;
   std::size_t AdmittedSinceProbe = 0;
   Time LastAdmissionAt{};
-  std::deque<std::pair<Time, Connection>> Waiting;
+  /// The limit kept connections waiting since the last probe, and in the
+  /// interval before it.
+  bool Exhausted = false;
+  bool WasExhausted = false;
 };
 
 } // namespace nutmegsill::routing
