--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -37,6 +37,9 @@
 constexpr milliseconds IdleTimeoutMargin{1'500};
 /// Idle timeout assumed for targets that state none.
 constexpr milliseconds DefaultIdleTimeout{3'000};
+/// Timeout for connecting to a target whose connection was lost; the system of
+/// a host that runs no process there refuses within a round trip.
+constexpr milliseconds ProbeTimeout{100};
 constexpr unsigned FirstFinalStatus = 200;
 constexpr unsigned FirstRedirectStatus = 300;
 constexpr unsigned FirstServerErrorStatus = 500;
@@ -304,19 +307,19 @@
   }
 }
 
-asio::awaitable<ExchangeOutcome> Exchange::run() {
+asio::awaitable<void> Exchange::transfer() {
   const bool connected = co_await connect();
   if (!connected) {
-    co_return std::move(Outcome);
+    co_return;
   }
   const bool sent = co_await send();
   if (!sent) {
-    co_return std::move(Outcome);
+    co_return;
   }
   ResponseReader reader;
   const bool headReceived = co_await readHead(reader);
   if (!headReceived) {
-    co_return std::move(Outcome);
+    co_return;
   }
   const bool isStream = Request.IsStream &&
                         reader.Status < FirstRedirectStatus &&
@@ -331,6 +334,26 @@
     }
   }
   releaseConnection(reader);
+}
+
+asio::awaitable<void> Exchange::probeLostTarget() {
+  beast::tcp_stream probe(co_await asio::this_coro::executor);
+  probe.expires_after(ProbeTimeout);
+  boost::system::error_code ec;
+  co_await probe.async_connect(Request.TargetEndpoint,
+                               asio::redirect_error(asio::use_awaitable, ec));
+  if (ec == asio::error::connection_refused) {
+    Outcome.Result = ExchangeResult::TargetEnded;
+    Outcome.Reason += ", target ended";
+  }
+}
+
+asio::awaitable<ExchangeOutcome> Exchange::run() {
+  co_await transfer();
+  if (Request.ProbeLostTarget && Outcome.Result == ExchangeResult::Broken) {
+    Connection.reset();
+    co_await probeLostTarget();
+  }
   co_return std::move(Outcome);
 }
 
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -25,6 +25,9 @@
   bool IsStream = false;
   /// The response has no body, whatever its header says.
   bool ResponseHasNoBody = false;
+  /// Whether the target still accepts connections is found out if the
+  /// connection is lost.
+  bool ProbeLostTarget = false;
   /// Idle connections that may be kept to this target.
   std::size_t MaxIdleConnections = 1;
   /// Called when connected, before the first byte is sent.
@@ -66,6 +69,8 @@
   boost::asio::awaitable<void> forwardStream(ResponseReader &reader);
   boost::asio::awaitable<bool> forwardPart(ResponseReader &reader,
                                            std::string_view part, bool isLast);
+  boost::asio::awaitable<void> transfer();
+  boost::asio::awaitable<void> probeLostTarget();
   void classifyResponse(ResponseReader &reader, std::string body);
   void releaseConnection(ResponseReader &reader);
   void fail(routing::ExchangeResult result, std::string reason);
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -366,6 +366,8 @@
   exchangeRequest.RequestId = request.Head.RequestId;
   exchangeRequest.IsStream =
       request.Admitted->Route->Semantics == routing::ExecutionSemantics::Stream;
+  exchangeRequest.ProbeLostTarget =
+      request.Lifecycle->dispatchRequest().Prompt.InputTokens > 0;
   exchangeRequest.ResponseHasNoBody = message.method() == http::verb::head;
   exchangeRequest.MaxIdleConnections =
       Context.Dispatcher.maxConnectionsPerTarget(assignment.Pool);
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -86,6 +86,9 @@
   Unreachable,
   /// The connection was lost or the response was invalid.
   Broken,
+  /// The connection was lost, and no process accepts connections at the
+  /// target's address any more.
+  TargetEnded,
   /// No response within the time limit.
   TimedOut,
   /// The caller disconnected.
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -348,6 +348,7 @@
   // A misdirected request shows that the target's process has ended.
   const bool unresponsive = result == ExchangeResult::Unreachable ||
                             result == ExchangeResult::Misdirected ||
+                            result == ExchangeResult::TargetEnded ||
                             result == ExchangeResult::TimedOut;
   if (unresponsive) {
     state.EjectionTime =
