--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -248,6 +248,7 @@
 }
 
 asio::awaitable<void> Exchange::forwardStream(ResponseReader &reader) {
+  bool hasEvent = false;
   for (;;) {
     boost::system::error_code ec;
     reader.Parser->get().body().data = reader.PartBuffer.data();
@@ -263,7 +264,8 @@
                                 reader.PartBuffer.size() -
                                     reader.Parser->get().body().size);
     const bool isLast = reader.Parser->is_done();
-    if (Boundary.append(part) || (isLast && !part.empty())) {
+    const bool boundary = Boundary.append(part).has_value();
+    if (boundary || (isLast && !part.empty())) {
       Request.OnProgress();
     }
     if (Boundary.pendingBytes() > MaxEventBytes) {
@@ -271,6 +273,13 @@
            "event longer than " + std::to_string(MaxEventBytes) + " bytes");
       co_return;
     }
+    hasEvent = hasEvent || boundary;
+    if (isLast && reader.Parser->need_eof() &&
+        (!hasEvent || Boundary.pendingBytes() > 0)) {
+      fail(ExchangeResult::Broken, "stream without a length ended inside an "
+                                   "event");
+      co_return;
+    }
     if (part.empty() && !isLast) {
       continue;
     }
--- a/packages/gateway/test/gateway_faults_test.cpp
+++ b/packages/gateway/test/gateway_faults_test.cpp
@@ -101,6 +101,49 @@
   CHECK(runCount("id-1") == 1);
 }
 
+TEST_CASE_METHOD(GatewayFaultsFixture,
+                 "gateway_unframed_stream_that_ends_after_event_is_complete") {
+  startRouter();
+  setTargetModes(TargetMode::UnframedStreams);
+  for (const char *path : {"/stream/whole/a", "/stream/resumed/a"}) {
+    const RawResponse response = sendRequest(path, std::string("id") + path);
+    CHECK(response.Complete);
+    CHECK(response.Body == TargetStandin::streamBody(1));
+  }
+}
+
+// Guards against broken streams that look complete.
+TEST_CASE_METHOD(GatewayFaultsFixture,
+                 "gateway_unframed_stream_that_ends_in_event_is_broken") {
+  startRouter();
+  for (const TargetMode mode : {TargetMode::UnframedStreamsCutInEvent,
+                                TargetMode::UnframedStreamsWithoutEvent,
+                                TargetMode::UnframedStreamsReset}) {
+    setTargetModes(mode);
+    const std::string id = "id-" + std::to_string(static_cast<int>(mode));
+    const RawResponse response = sendRequest("/stream/whole/a", id);
+    CHECK((!response.Complete || response.Status == 502));
+    CHECK(runCount(id) == 1);
+  }
+}
+
+TEST_CASE_METHOD(GatewayFaultsFixture,
+                 "gateway_unframed_stream_that_ends_in_event_is_resumed") {
+  startRouter();
+  for (const TargetMode mode : {TargetMode::UnframedStreamsCutInEvent,
+                                TargetMode::UnframedStreamsWithoutEvent,
+                                TargetMode::UnframedStreamsReset}) {
+    FirstTarget->setMode(mode);
+    for (int i = 0; i < 4; ++i) {
+      const RawResponse response =
+          sendRequest("/stream/resumed/a",
+                      "id-" + std::to_string(static_cast<int>(mode) * 10 + i));
+      CHECK(response.Complete);
+      CHECK(response.Body == TargetStandin::streamBody(1));
+    }
+  }
+}
+
 TEST_CASE_METHOD(GatewayFaultsFixture,
                  "gateway_resumable_stream_continues_on_another_target") {
   startRouter();
--- a/packages/standins/src/http_server.cpp
+++ b/packages/standins/src/http_server.cpp
@@ -75,6 +75,12 @@
   Closed = true;
 }
 
+void ServerExchange::closeConnection() {
+  boost::system::error_code ec;
+  Stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+  Closed = true;
+}
+
 namespace {
 
 asio::awaitable<void> serveConnection(tcp::socket socket,
--- a/packages/standins/src/http_server.h
+++ b/packages/standins/src/http_server.h
@@ -38,7 +38,9 @@
   boost::asio::awaitable<void> sleep(std::chrono::milliseconds duration);
   /// Closes the connection with a TCP reset, without the rest of the response.
   void resetConnection();
-  /// True after a failed write or `resetConnection`.
+  /// Ends the connection after all bytes sent.
+  void closeConnection();
+  /// True after a failed write, `closeConnection` or `resetConnection`.
   bool isClosed() const { return Closed; }
   boost::beast::tcp_stream &stream() { return Stream; }
 
--- a/packages/standins/src/target_standin.cpp
+++ b/packages/standins/src/target_standin.cpp
@@ -11,6 +11,13 @@
 namespace {
 
 constexpr std::chrono::seconds HangDuration{20};
+/// Time in which a router reads what was sent, before the connection ends.
+constexpr std::chrono::milliseconds ReadDelay{50};
+
+bool isUnframed(TargetMode mode) {
+  return mode >= TargetMode::UnframedStreams &&
+         mode <= TargetMode::UnframedStreamsReset;
+}
 
 std::string headerField(const ServerRequest &request, const char *name) {
   const auto it = request.find(name);
@@ -150,6 +157,10 @@
     const std::lock_guard<std::mutex> lock(Mutex);
     pause = EventPause;
   }
+  if (isUnframed(mode)) {
+    co_await sendUnframedStream(exchange, received, mode);
+    co_return;
+  }
   std::string text = responseHead(received, 200, mode) +
                      "Content-Type: text/event-stream\r\n"
                      "Transfer-Encoding: chunked\r\n\r\n";
@@ -173,6 +184,32 @@
   co_await exchange.finishChunked();
 }
 
+asio::awaitable<void>
+TargetStandin::sendUnframedStream(ServerExchange &exchange,
+                                  const ReceivedRequest &received,
+                                  TargetMode mode) {
+  const int firstEvent =
+      received.LastEventId.empty() ? 1 : std::stoi(received.LastEventId) + 1;
+  std::string body = streamBody(firstEvent);
+  if (mode == TargetMode::UnframedStreamsCutInEvent) {
+    body.resize(body.size() - streamBody(3).size() + 4);
+  } else if (mode == TargetMode::UnframedStreamsWithoutEvent) {
+    body.clear();
+  } else if (mode == TargetMode::UnframedStreamsReset) {
+    body.resize(body.size() - streamBody(3).size());
+  }
+  co_await exchange.sendBytes(responseHead(received, 200, mode) +
+                              "Content-Type: text/event-stream\r\n"
+                              "Connection: close\r\n\r\n" +
+                              body);
+  co_await exchange.sleep(ReadDelay);
+  if (mode == TargetMode::UnframedStreamsReset) {
+    exchange.resetConnection();
+  } else {
+    exchange.closeConnection();
+  }
+}
+
 asio::awaitable<void>
 TargetStandin::sendEndlessly(ServerExchange &exchange,
                              const ReceivedRequest &received, TargetMode mode) {
--- a/packages/standins/src/target_standin.h
+++ b/packages/standins/src/target_standin.h
@@ -26,6 +26,16 @@
   DroppingResponses,
   /// Resets the connection in the middle of event number 3 of a stream.
   TruncatingStreams,
+  // The modes below send streams with neither a length nor chunks, which end
+  // with their connection.
+  /// The stream is complete.
+  UnframedStreams,
+  /// The connection is closed in the middle of event number 3.
+  UnframedStreamsCutInEvent,
+  /// The connection is closed before the first event.
+  UnframedStreamsWithoutEvent,
+  /// The connection is reset after event number 2.
+  UnframedStreamsReset,
   /// Sends each response twice, except streams.
   DuplicatingResponses,
   /// Responds with status 200 but without the "Signature" field.
@@ -95,6 +105,9 @@
   boost::asio::awaitable<void> sendStream(ServerExchange &exchange,
                                           const ReceivedRequest &received,
                                           TargetMode mode);
+  boost::asio::awaitable<void>
+  sendUnframedStream(ServerExchange &exchange, const ReceivedRequest &received,
+                     TargetMode mode);
   boost::asio::awaitable<void> sendPlain(ServerExchange &exchange,
                                          const ReceivedRequest &received,
                                          TargetMode mode);
