--- a/packages/routing/include/nutmegsill/routing/request_lifecycle.h
+++ b/packages/routing/include/nutmegsill/routing/request_lifecycle.h
@@ -38,8 +38,9 @@
   bool finishAttempt(Dispatcher &dispatcher, Assignment &assignment,
                      const AttemptOutcome &outcome, Time now);
   /// The response to send if no target's response is forwarded: 503 if no
-  /// target ran the request, 422 if none did since engines ended under a part
-  /// of its prompt, 504 if the last attempt timed out, otherwise 502.
+  /// target ran the request, 429 if its team uses more than its share, 422 if
+  /// engines ended under a part of its prompt, 504 if the last attempt timed
+  /// out, otherwise 502.
   LocalResponse localResponse() const;
 
   /// Time until the request's deadline.
--- a/packages/routing/src/request_lifecycle.cpp
+++ b/packages/routing/src/request_lifecycle.cpp
@@ -115,8 +115,12 @@
     return {422, rejectionReasonName(LastRejection->Reason), std::nullopt};
   }
   if (SentAttempts == 0 && LastRejection) {
+    // Tells a team that asks for too much from a fleet that lacks capacity.
+    const bool overShare =
+        LastRejection->Reason == RejectionReason::TeamOverShare &&
+        LastRejection->FairShareUsage >= 1;
     return {
-        503,
+        overShare ? 429U : 503U,
         std::string(rejectionReasonName(LastRejection->Reason)) +
             ", expected_ms " +
             std::to_string(toMilliseconds(LastRejection->ExpectedFirstEvent)) +
--- a/packages/routing/test/prompt_lifecycle_test.cpp
+++ b/packages/routing/test/prompt_lifecycle_test.cpp
@@ -83,6 +83,25 @@
       sound.chooseTarget(TestedDispatcher, at(4'000))));
 }
 
+TEST_CASE_METHOD(PromptLifecycleFixture,
+                 "request_lifecycle_team_over_share_is_told_so") {
+  // The team's own requests fill the engines.
+  std::optional<LocalResponse> rejected;
+  for (int i = 0; i < 2'000 && !rejected; ++i) {
+    RequestLifecycle lifecycle = start({Root}, at(i));
+    TestedDispatcher.recordRequest(lifecycle.dispatchRequest(), at(i));
+    const DispatchDecision decision =
+        lifecycle.chooseTarget(TestedDispatcher, at(i));
+    if (std::holds_alternative<Rejection>(decision)) {
+      rejected = lifecycle.localResponse();
+    }
+  }
+  REQUIRE(rejected);
+  CHECK(rejected->Reason.rfind("team_over_share", 0) == 0);
+  CHECK(rejected->Status == 429);
+  CHECK(rejected->RetryAfter);
+}
+
 TEST_CASE_METHOD(PromptLifecycleFixture,
                  "request_lifecycle_crash_after_lasting_response_is_no_loss") {
   for (int i = 0; i < 4; ++i) {
