--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
 #include <array>
--- a/packages/routing/src/prompt_quarantine.cpp
+++ b/packages/routing/src/prompt_quarantine.cpp
@@ -171,6 +171,7 @@
   std::vector<Suspect> out;
   for (const auto &[part, crashes] : parts) {
     std::vector<Time> times;
+    times.reserve(crashes.At.size());
     for (const auto &[process, at] : crashes.At) {
       times.push_back(at);
     }
--- a/packages/routing/test/prompt_lifecycle_test.cpp
+++ b/packages/routing/test/prompt_lifecycle_test.cpp
@@ -68,7 +68,7 @@
 TEST_CASE_METHOD(PromptLifecycleFixture,
                  "request_lifecycle_quarantined_prompt_is_rejected_unsent") {
   for (int i = 0; i < 3; ++i) {
-    const Time now = at(i * 1'000);
+    const Time now = at(i * 1'000L);
     RequestLifecycle lifecycle = start({Root, Deadly}, now);
     attempt(lifecycle, ExchangeResult::TargetEnded, now);
   }
@@ -105,7 +105,7 @@
 TEST_CASE_METHOD(PromptLifecycleFixture,
                  "request_lifecycle_crash_after_lasting_response_is_no_loss") {
   for (int i = 0; i < 4; ++i) {
-    const Time now = at(i * 1'000);
+    const Time now = at(i * 1'000L);
     RequestLifecycle lifecycle = start({Root, 33}, now);
     DispatchDecision decision = lifecycle.chooseTarget(TestedDispatcher, now);
     Assignment &assignment = std::get<Assignment>(decision);
--- a/packages/routing/test/prompt_quarantine_test.cpp
+++ b/packages/routing/test/prompt_quarantine_test.cpp
@@ -27,7 +27,7 @@
   void crashThreeTimes() {
     for (int i = 0; i < 3; ++i) {
       Quarantine.recordLoss(prompt({Root, Deadly}),
-                            process("e-" + std::to_string(i)), at(i * 1'000));
+                            process("e-" + std::to_string(i)), at(i * 1'000L));
     }
     Quarantine.update(at(3'000));
   }
@@ -53,7 +53,7 @@
     PromptDescription own;
     own.Parts = {{Deadly, 500}};
     Quarantine.recordLoss(own, process("e-" + std::to_string(i)),
-                          at(i * 1'000));
+                          at(i * 1'000L));
   }
   Quarantine.update(at(6'000));
   CHECK_FALSE(isQuarantined(Deadly, at(6'000)));
@@ -62,7 +62,7 @@
 TEST_CASE_METHOD(PromptQuarantineFixture,
                  "prompt_quarantine_part_that_survives_is_not_quarantined") {
   for (int i = 0; i < 5; ++i) {
-    const Time crash = at(i * 1'000);
+    const Time crash = at(i * 1'000L);
     Quarantine.recordLoss(prompt({Root}), process("e-" + std::to_string(i)),
                           crash);
     Quarantine.recordSurvival(prompt({Root}), crash + milliseconds(10),
@@ -87,7 +87,7 @@
                  "prompt_quarantine_engines_that_end_together_count_once") {
   for (int i = 0; i < 9; ++i) {
     Quarantine.recordLoss(prompt({Root}), process("e-" + std::to_string(i)),
-                          at(5 * i));
+                          at(5L * i));
   }
   Quarantine.update(at(3'000));
   CHECK_FALSE(isQuarantined(Root, at(3'000)));
@@ -96,7 +96,7 @@
 TEST_CASE_METHOD(PromptQuarantineFixture,
                  "prompt_quarantine_many_prompts_of_one_crash_count_once") {
   for (int i = 0; i < 9; ++i) {
-    Quarantine.recordLoss(prompt({Root}), process("e-1"), at(i * 200));
+    Quarantine.recordLoss(prompt({Root}), process("e-1"), at(i * 200L));
   }
   Quarantine.update(at(3'000));
   CHECK_FALSE(isQuarantined(Root, at(3'000)));
@@ -181,10 +181,10 @@
     for (std::uint64_t part = 0; part < 60; ++part) {
       Quarantine.recordLoss(
           prompt({1'000 + 100 * static_cast<std::uint64_t>(i) + part}),
-          process("e-" + std::to_string(i)), at(i * 1'000));
+          process("e-" + std::to_string(i)), at(i * 1'000L));
     }
     Quarantine.recordLoss(prompt({Deadly}), process("e-" + std::to_string(i)),
-                          at(i * 1'000));
+                          at(i * 1'000L));
   }
   Quarantine.update(at(3'000));
   CHECK(isQuarantined(Deadly, at(3'000)));
