--- a/packages/gateway/src/json_server.cpp
+++ b/packages/gateway/src/json_server.cpp
@@ -1,8 +1,10 @@
 #include "json_server.h"
 
+#include "log.h"
 #include "spawn.h"
 
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -24,6 +26,8 @@
 /// Callers query again after some seconds; a kept-alive connection serves the
 /// next query too.
 constexpr std::chrono::seconds KeepAliveTimeout{15};
+/// Delay after a failed accept, for example when no file descriptor is free.
+constexpr std::chrono::milliseconds AcceptRetryDelay{50};
 
 asio::awaitable<void> serveConnection(beast::tcp_stream stream,
                                       JsonHandler handler) {
@@ -84,6 +88,10 @@
     if (!ec) {
       spawn(executor,
             serveConnection(beast::tcp_stream(std::move(socket)), handler));
+    } else if (acceptor.is_open()) {
+      logLine("process", "accept_failed", {{"reason", ec.message()}});
+      asio::steady_timer timer(executor, AcceptRetryDelay);
+      co_await timer.async_wait(asio::use_awaitable);
     }
   }
 }
