--- a/packages/process/src/peer_socket.cpp
+++ b/packages/process/src/peer_socket.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/post.hpp>
 #include <charconv>
 #include <map>
 #include <zmq.hpp>
@@ -19,6 +20,8 @@
 /// A peer that sends a larger message is disconnected; load reports have some
 /// kilobytes.
 constexpr std::int64_t MaxMessageBytes = 1 << 20;
+/// Messages received before other handlers of the event loop run.
+constexpr int MaxMessagesAtOnce = 64;
 constexpr const char *AuthEndpoint = "inproc://zeromq.zap.01";
 
 /// Returns the routing identity "HOST|INCARNATION" of a connection.
@@ -81,6 +84,9 @@
   std::map<HostId, Peer> Peers;
   asio::posix::stream_descriptor AuthDescriptor;
   asio::posix::stream_descriptor ReceiveDescriptor;
+  /// Pending handlers hold a weak pointer and must not touch this after its
+  /// end.
+  std::shared_ptr<bool> LifetimeToken = std::make_shared<bool>();
 };
 
 void PeerSocket::Implementation::bind(const std::string &address) {
@@ -145,14 +151,25 @@
 
 void PeerSocket::Implementation::receiveMessages() {
   std::vector<zmq::message_t> frames;
-  while (zmq::recv_multipart(ReceiveSocket, std::back_inserter(frames),
-                             zmq::recv_flags::dontwait)) {
+  for (int received = 0;
+       zmq::recv_multipart(ReceiveSocket, std::back_inserter(frames),
+                           zmq::recv_flags::dontwait);) {
     if (frames.size() == 2) {
       receiveMessage(frames[0], frames[1]);
     } else {
       Counters.countDroppedPeerMessage("malformed");
     }
     frames.clear();
+    if (++received == MaxMessagesAtOnce) {
+      // The descriptor shows new messages only, not those that are left.
+      asio::post(ReceiveDescriptor.get_executor(),
+                 [this, lifetime = std::weak_ptr<bool>(LifetimeToken)] {
+                   if (!lifetime.expired()) {
+                     receivePending();
+                   }
+                 });
+      return;
+    }
   }
 }
 
--- a/packages/process/src/peer_socket.h
+++ b/packages/process/src/peer_socket.h
@@ -64,7 +64,8 @@
   /// to a peer opens the connection and is dropped.
   void send(const HostId &to, const std::string &type,
             const std::string &bytes);
-  /// Receives all messages that have arrived.
+  /// Receives the messages that have arrived; if there are many, some of them
+  /// later on the event loop.
   void receivePending();
 
 private:
