--- a/packages/soak/src/soak_faults.cpp
+++ b/packages/soak/src/soak_faults.cpp
@@ -139,9 +139,14 @@
     Fleet.signalRouter(router, SIGTERM);
     const SoakTime signalledAt = now();
     PendingUndos[name] = {
-        signalledAt + StopTimeout, [this, router, name] {
-          const std::optional<int> code =
+        signalledAt + StopTimeout, [this, router, name, signalledAt] {
+          std::optional<int> code =
               Fleet.waitForRouter(router, milliseconds(0));
+          // At the end of the faults this runs before the time is up.
+          while (!code && now() < signalledAt + StopTimeout) {
+            std::this_thread::sleep_for(MinFaultGap);
+            code = Fleet.waitForRouter(router, milliseconds(0));
+          }
           if (code != 0) {
             Log.UncleanStops.push_back(
                 name + (code ? " exited with code " + std::to_string(*code)
