Decode, keep and log the request rates that targets state

No log line and no metric told whether a router knows of a target's limit. Responses are decoded for it, a type without I/O keeps it by target and process, the changes are logged and counted, and request/dispatched names the limit of the chosen target.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -331,6 +331,7 @@
   if (!headReceived) {
     co_return;
   }
+  Request.OnResponseHead(reader.Head);
   const bool isStream = Request.IsStream &&
                         reader.Status < FirstRedirectStatus &&
                         reader.Head.Signed && !reader.Head.NotRun;
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -32,6 +32,8 @@
   std::size_t MaxIdleConnections = 1;
   /// Called when connected, before the first byte is sent.
   std::function<void()> OnConnected;
+  /// Called with the header of the final response.
+  std::function<void(const platform::ResponseHead &)> OnResponseHead;
   /// Called whenever the end of an event, or of the stream, has arrived.
   std::function<void()> OnProgress;
 };
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -16,7 +16,7 @@
 void encode(const routing::QuarantineReport &report, wire::LoadReport &out) {
   for (const routing::LostPrompt &it : report.Lost) {
     wire::LostPrompt *entry = out.add_lost();
-    entry->set_target(it.Process.Engine.Text);
+    entry->set_target(it.Process.Target.Text);
     entry->set_started_at_ms(it.Process.StartedAtMs);
     entry->set_age_ms(ageToWire(it.Age));
     entry->mutable_parts()->Add(it.Parts.begin(), it.Parts.end());
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -390,6 +390,8 @@
        {"prefill", std::to_string(assignment.PrefillTokens)},
        {"output", std::to_string(dispatchRequest.Prompt.MaxOutputTokens)},
        {"used_share", std::to_string(assignment.FairShareUsage)},
+       {"limit",
+        assignment.StatedRate ? std::to_string(*assignment.StatedRate) : ""},
        {"view", std::to_string(Context.View->Version)},
        {"revision", std::to_string(request.Admitted->Config->Revision.Value)},
        {"report_age_ms", std::to_string(assignment.OldestReportAgeMs)},
@@ -421,6 +423,14 @@
       armTimer(timeLeft, CancelCause::TimeLimit);
     }
   };
+  exchangeRequest.OnResponseHead =
+      [this, &assignment](const platform::ResponseHead &head) {
+        // A misdirected request is answered by another target.
+        if (!head.Misdirected) {
+          Context.Dispatcher.recordStatement(assignment, head.Statement,
+                                             bootTimeNow());
+        }
+      };
   bool responseStarted = false;
   exchangeRequest.OnProgress = [this, &assignment, &responseStarted, &request] {
     const Time now = bootTimeNow();
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -11,6 +11,7 @@
 #include "nutmegsill/routing/prompt_quarantine.h"
 #include "nutmegsill/routing/report_recipients.h"
 #include "nutmegsill/routing/retry_budget.h"
+#include "nutmegsill/routing/target_statements.h"
 #include "nutmegsill/routing/team_share.h"
 
 #include <optional>
@@ -58,6 +59,9 @@
   std::int64_t OldestReportAgeMs = 0;
   /// Ratio of the team's served rate to its fair share.
   double FairShareUsage = 0;
+  /// Requests per second that the target states it takes; nothing without a
+  /// limit.
+  std::optional<double> StatedRate;
 };
 
 /// Why no target was chosen for a request.
@@ -199,6 +203,9 @@
   void recordProgress(Assignment &assignment, Time now);
   /// Records the end of an exchange; call once for every assignment.
   void recordResult(Assignment &assignment, ExchangeResult result, Time now);
+  /// Records what the response's header states of the target.
+  void recordStatement(const Assignment &assignment,
+                       const TargetStatement &statement, Time now);
   /// Records that the engine ended before the response had lasted.
   void recordPromptLost(const DispatchRequest &request,
                         const Assignment &assignment, Time now);
@@ -209,8 +216,9 @@
   bool mayRepeatPrompt(const DispatchRequest &request, Time now) const {
     return Quarantine.mayRepeat(request.Prompt, now);
   }
-  /// Returns and clears the changes of the quarantine of prompt parts.
-  std::vector<FleetChange> takeChanges() { return Quarantine.takeChanges(); }
+  /// Returns and clears the changes of the quarantine of prompt parts and of
+  /// what targets state.
+  std::vector<FleetChange> takeChanges();
 
   /// Returns the reports to send and clears the unreported prompts. Also
   /// expires peer reports and cached parts; call periodically. Without
@@ -341,6 +349,7 @@
   std::optional<Time> SharesUpdatedAt;
   PrefixCacheTracker Caches;
   PromptQuarantine Quarantine;
+  TargetStatements Statements;
   bool IsPreferred = true;
   ReportRecipients Recipients;
   /// `Recipients.GroupPeers` as a set.
--- a/packages/routing/include/nutmegsill/routing/prompt_quarantine.h
+++ b/packages/routing/include/nutmegsill/routing/prompt_quarantine.h
@@ -9,6 +9,7 @@
 
 #include "nutmegsill/routing/fleet_change.h"
 #include "nutmegsill/routing/prompt.h"
+#include "nutmegsill/routing/target_process.h"
 #include "nutmegsill/types.h"
 
 #include <map>
@@ -17,16 +18,9 @@
 
 namespace nutmegsill::routing {
 
-/// A process of an engine.
-struct EngineProcess {
-  TargetId Engine;
-  std::int64_t StartedAtMs = 0;
-  auto operator<=>(const EngineProcess &) const = default;
-};
-
 /// A prompt whose engine ended before its response had lasted.
 struct LostPrompt {
-  EngineProcess Process;
+  TargetProcess Process;
   /// Time since the loss.
   Duration Age{0};
   /// Hashes of the parts that other requests may share, in order.
@@ -116,7 +110,7 @@
   void setRouters(std::vector<HostId> routers) { Routers = std::move(routers); }
 
   /// Records that an engine ended before the response had lasted.
-  void recordLoss(const PromptDescription &prompt, const EngineProcess &process,
+  void recordLoss(const PromptDescription &prompt, const TargetProcess &process,
                   Time now);
   /// Records that a response was complete, or lasted after its first event.
   void recordSurvival(const PromptDescription &prompt, Time sentAt, Time now);
@@ -152,7 +146,7 @@
     int Group = 0;
   };
   struct Loss {
-    EngineProcess Process;
+    TargetProcess Process;
     Time At{};
     std::vector<std::uint64_t> Parts;
     PendingReports Pending;
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -77,6 +77,11 @@
     fresh.emplace(it.Entry.Target, std::move(state));
   }
   Targets = std::move(fresh);
+  std::set<TargetProcess> processes;
+  for (const auto &[id, state] : Targets) {
+    processes.insert({id, state.Known.Entry.StartedAtMs});
+  }
+  Statements.retain(processes);
   updatePools();
   updateMaxEngineCount();
   updateColdSenders();
@@ -245,6 +250,7 @@
   out.Address = state.Known.Entry.Address;
   out.TargetStartedAtMs = state.Known.Entry.StartedAtMs;
   out.Pool = request.Pool;
+  out.StatedRate = Statements.statedRate({out.Target, out.TargetStartedAtMs});
   out.SentAt = now;
   out.OldestReportAgeMs =
       std::chrono::duration_cast<milliseconds>(Peers.oldestReportAge(now))
@@ -372,6 +378,20 @@
   }
 }
 
+void Dispatcher::recordStatement(const Assignment &assignment,
+                                 const TargetStatement &statement, Time now) {
+  Statements.hear({assignment.Target, assignment.TargetStartedAtMs}, statement,
+                  assignment.SentAt, now);
+}
+
+std::vector<FleetChange> Dispatcher::takeChanges() {
+  std::vector<FleetChange> out = Quarantine.takeChanges();
+  for (FleetChange &it : Statements.takeChanges()) {
+    out.push_back(std::move(it));
+  }
+  return out;
+}
+
 void Dispatcher::recordPromptLost(const DispatchRequest &request,
                                   const Assignment &assignment, Time now) {
   Quarantine.recordLoss(request.Prompt,
--- a/packages/routing/src/prompt_quarantine.cpp
+++ b/packages/routing/src/prompt_quarantine.cpp
@@ -55,7 +55,7 @@
 } // namespace
 
 void PromptQuarantine::recordLoss(const PromptDescription &prompt,
-                                  const EngineProcess &process, Time now) {
+                                  const TargetProcess &process, Time now) {
   Loss loss{process,
             now,
             sharedParts(prompt, Policy.MaxPartsPerPrompt),
@@ -64,7 +64,7 @@
     return;
   }
   Changes.push_back({"prompt_lost",
-                     {{"target", process.Engine.Text},
+                     {{"target", process.Target.Text},
                       {"started_at_ms", std::to_string(process.StartedAtMs)},
                       {"parts", formatParts(loss.Parts)}}});
   addLoss(std::move(loss));
@@ -140,7 +140,7 @@
 
 std::vector<PromptQuarantine::Suspect>
 PromptQuarantine::suspects(Time latest) const {
-  std::set<EngineProcess> explained;
+  std::set<TargetProcess> explained;
   for (const Loss &it : Losses) {
     for (const std::uint64_t part : it.Parts) {
       if (Quarantined.count(part) > 0) {
@@ -149,7 +149,7 @@
     }
   }
   struct Crashes {
-    std::map<EngineProcess, Time> At;
+    std::map<TargetProcess, Time> At;
     std::size_t Position = 0;
   };
   std::map<std::uint64_t, Crashes> parts;
--- a/packages/routing/test/prompt_quarantine_fleet_test.cpp
+++ b/packages/routing/test/prompt_quarantine_fleet_test.cpp
@@ -196,7 +196,7 @@
 
   void crash(Engine &engine) {
     const std::size_t index = static_cast<std::size_t>(&engine - &Engines[0]);
-    const EngineProcess process{TargetId{"e-" + std::to_string(index)},
+    const TargetProcess process{TargetId{"e-" + std::to_string(index)},
                                 engine.StartedAtMs};
     for (const Prompt &it : engine.Prompts) {
       Routers[it.Router].recordLoss(it.Description, process, Now);
--- a/packages/routing/test/prompt_quarantine_test.cpp
+++ b/packages/routing/test/prompt_quarantine_test.cpp
@@ -11,7 +11,7 @@
   static constexpr std::uint64_t Deadly = 7;
 
   static Time at(std::int64_t ms) { return Time(milliseconds(ms)); }
-  static EngineProcess process(const std::string &engine,
+  static TargetProcess process(const std::string &engine,
                                std::int64_t startedAtMs = 1) {
     return {TargetId{engine}, startedAtMs};
   }
