--- a/packages/standins/src/target_standin.cpp
+++ b/packages/standins/src/target_standin.cpp
@@ -46,6 +46,16 @@
   Mode = mode;
 }
 
+void TargetStandin::setResponseFields(std::string lines) {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  ResponseFields = std::move(lines);
+}
+
+std::string TargetStandin::responseFields() const {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  return ResponseFields;
+}
+
 void TargetStandin::setEventPause(std::chrono::milliseconds pause) {
   const std::lock_guard<std::mutex> lock(Mutex);
   EventPause = pause;
@@ -83,14 +93,15 @@
 }
 
 std::string TargetStandin::responseHead(const ReceivedRequest &received,
-                                        unsigned status, TargetMode mode) {
+                                        unsigned status,
+                                        TargetMode mode) const {
   const std::string signature =
       mode == TargetMode::OmittingSignatures
           ? ""
           : "Signature: s-" + received.RequestId + "\r\n";
   return "HTTP/1.1 " + std::to_string(status) +
          " Answer\r\nRequest-Id: " + received.RequestId + "\r\n" + signature +
-         "Keep-Alive: timeout=10\r\n";
+         "Keep-Alive: timeout=10\r\n" + responseFields();
 }
 
 asio::awaitable<void> TargetStandin::handleRequest(ServerExchange &exchange) {
@@ -119,8 +130,8 @@
   }
   if (mode == TargetMode::Rejecting) {
     co_await exchange.sendBytes(
-        "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
-        "Content-Length: 0\r\n\r\n");
+        "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" +
+        responseFields() + "Content-Length: 0\r\n\r\n");
   } else if (mode == TargetMode::DroppingResponses) {
     exchange.resetConnection();
   } else if (mode == TargetMode::Hanging) {
--- a/packages/standins/src/target_standin.h
+++ b/packages/standins/src/target_standin.h
@@ -77,6 +77,9 @@
   ~TargetStandin();
 
   void setMode(TargetMode mode);
+  /// Sets header lines of all responses, each with its line end; 421 does not
+  /// get them.
+  void setResponseFields(std::string lines);
   /// Sets the pause between two events of a stream.
   void setEventPause(std::chrono::milliseconds pause);
   /// Requests in the order received, without those answered with status 421
@@ -114,8 +117,9 @@
   boost::asio::awaitable<void> sendEndlessly(ServerExchange &exchange,
                                              const ReceivedRequest &received,
                                              TargetMode mode);
-  static std::string responseHead(const ReceivedRequest &received,
-                                  unsigned status, TargetMode mode);
+  std::string responseHead(const ReceivedRequest &received, unsigned status,
+                           TargetMode mode) const;
+  std::string responseFields() const;
 
   const std::string Id;
   const std::string Service;
@@ -123,6 +127,7 @@
   mutable std::mutex Mutex;
   TargetMode Mode = TargetMode::Serving;
   std::chrono::milliseconds EventPause{2};
+  std::string ResponseFields;
   std::vector<ReceivedRequest> Received;
   std::map<std::string, int> RunCounts;
   std::atomic<std::uint64_t> EndlessBytesSent{0};
