--- a/packages/routing/include/nutmegsill/routing/team_share.h
+++ b/packages/routing/include/nutmegsill/routing/team_share.h
@@ -1,6 +1,7 @@
 /// Max-min fair shares of the engines' rated throughput among teams.
 #pragma once
 
+#include "nutmegsill/routing/meter.h"
 #include "nutmegsill/types.h"
 
 #include <limits>
@@ -39,16 +40,10 @@
   std::map<TeamId, TeamRate> ownRates(Time now);
 
 private:
-  /// Tokens, decayed exponentially.
-  struct Meter {
-    double Tokens = 0;
-    Time UpdatedAt{};
-    void add(double tokens, Time now);
-    double rate(Time now);
-  };
+  /// Tokens; averaged over half of the users' quota window of 4 s.
   struct Meters {
-    Meter Requested;
-    Meter Served;
+    Meter Requested{2};
+    Meter Served{2};
   };
 
   std::map<TeamId, Meters> Teams;
--- a/packages/routing/src/team_share.cpp
+++ b/packages/routing/src/team_share.cpp
@@ -1,17 +1,9 @@
 #include "nutmegsill/routing/team_share.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace nutmegsill::routing {
 
-namespace {
-
-/// Time constant of the rate meters: half of the users' quota window of 4 s.
-constexpr double MeterTimeConstantSeconds = 2.0;
-
-} // namespace
-
 double maxMinFairRate(std::vector<double> demands, double capacity) {
   std::sort(demands.begin(), demands.end());
   double left = capacity;
@@ -27,18 +19,6 @@
   return std::numeric_limits<double>::infinity();
 }
 
-void TeamShares::Meter::add(double tokens, Time now) {
-  rate(now);
-  Tokens += tokens;
-}
-
-double TeamShares::Meter::rate(Time now) {
-  const double age = std::chrono::duration<double>(now - UpdatedAt).count();
-  Tokens *= std::exp(-std::max(0.0, age) / MeterTimeConstantSeconds);
-  UpdatedAt = now;
-  return Tokens / MeterTimeConstantSeconds;
-}
-
 void TeamShares::setPeerRates(std::map<TeamId, TeamRate> rates) {
   Peers = std::move(rates);
 }
