Divide the request rate that a target states among the routers

Targets got about twice what they state they take from all routers together: no router kept to the statement.

Each router now offers its requests to the targets in the order of their cost. A target with a limit takes the fraction of the offers that the limit is of the whole fleet's demand for it, as load reports give it; the fleet's sends of the last 4 s, also reported, bound it while demand shifts. A statement travels with the reports and ends with a response, to a later request, that lacks it. Repeats and resumed streams are offered alike. A request that no target takes is rejected at once, and successive ones are told to return one after the other. A target at its limit is not a failing one.

--- a/packages/ctl/src/explain.cpp
+++ b/packages/ctl/src/explain.cpp
@@ -65,6 +65,11 @@
   const std::string outcome = ended.readText("outcome");
   const std::string reason = ended.readText("reason");
   const std::string target = dispatched ? dispatched->readText("target") : "";
+  if (outcome == "refused" && reason.starts_with("targets_limited")) {
+    return "the targets get as many requests as they state they take; see "
+           "belief limit_stated: " +
+           reason;
+  }
   if (outcome == "refused") {
     return "the router refused the request, which did not run: " + reason;
   }
--- a/packages/ctl/test/explain_test.cpp
+++ b/packages/ctl/test/explain_test.cpp
@@ -20,6 +20,7 @@
 {"ts_ms":2000,"host":"host-1","kind":"request","what":"dispatched","id":"a","target":"t-1","expected_ms":"100"}
 {"ts_ms":2600,"host":"host-1","kind":"request","what":"ended","id":"a","outcome":"complete","first_ms":"500","ms":"600"}
 {"ts_ms":3000,"host":"host-1","kind":"request","what":"ended","id":"b","outcome":"refused","reason":"overloaded","ms":"0"}
+{"ts_ms":3500,"host":"host-1","kind":"request","what":"ended","id":"d","outcome":"refused","reason":"targets_limited, expected_ms 0","ms":"0"}
 {"ts_ms":4000,"host":"host-1","kind":"request","what":"dispatched","id":"c","target":"t-2","expected_ms":"100"}
 {"ts_ms":4100,"host":"host-1","kind":"request","what":"ended","id":"c","outcome":"broken","reason":"stream cut","ms":"100"}
 {"ts_ms":4200,"host":"host-2","kind":"belief","what":"target_gone","target":"t-2"}
@@ -30,6 +31,11 @@
   CHECK(explain("b").find("did not run: overloaded") != std::string::npos);
 }
 
+TEST_CASE_METHOD(ExplainFixture,
+                 "explain_request_beyond_limits_names_statement") {
+  CHECK(explain("d").find("belief limit_stated") != std::string::npos);
+}
+
 TEST_CASE_METHOD(ExplainFixture, "explain_late_request_names_the_target") {
   const std::string text = explain("a");
   CHECK(text.find("t-1 responded later") != std::string::npos);
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -61,6 +61,17 @@
     out.add_overloaded(it.Text);
   }
   encode(report.Quarantine, out);
+  for (const routing::LimitReport &it : report.Limits) {
+    wire::LimitReport *entry = out.add_limits();
+    entry->set_target(it.Process.Target.Text);
+    entry->set_started_at_ms(it.Process.StartedAtMs);
+    if (it.Rate) {
+      entry->set_rate(*it.Rate);
+    }
+    entry->set_age_ms(ageToWire(it.Age));
+    entry->set_demand(static_cast<float>(it.Demand));
+    entry->set_sent(it.Sent);
+  }
 }
 
 void encode(const routing::RelayedChanges &changes,
@@ -113,6 +124,8 @@
   return out;
 }
 
+bool isRate(double value) { return std::isfinite(value) && value >= 0; }
+
 std::optional<PeerMessage> decode(const wire::LoadReport &in) {
   routing::LoadReport report;
   for (const wire::TargetLoad &it : in.targets()) {
@@ -121,9 +134,7 @@
   }
   for (const wire::TeamTraffic &it : in.teams()) {
     const routing::TeamRate rate{it.asked(), it.served()};
-    const bool valid = std::isfinite(rate.Requested) && rate.Requested >= 0 &&
-                       std::isfinite(rate.Served) && rate.Served >= 0;
-    if (!valid) {
+    if (!isRate(rate.Requested) || !isRate(rate.Served)) {
       return std::nullopt;
     }
     report.Teams.push_back({TeamId{it.team()}, rate});
@@ -140,6 +151,17 @@
     report.OverloadedHosts.push_back(HostId{it});
   }
   report.Quarantine = decodeQuarantine(in);
+  for (const wire::LimitReport &it : in.limits()) {
+    if (!isRate(it.rate()) || !isRate(it.demand())) {
+      return std::nullopt;
+    }
+    report.Limits.push_back(
+        {{TargetId{it.target()}, it.started_at_ms()},
+         it.has_rate() ? std::optional(it.rate()) : std::nullopt,
+         milliseconds(it.age_ms()),
+         it.demand(),
+         it.sent()});
+  }
   return report;
 }
 
--- a/packages/gateway/test/peer_codec_test.cpp
+++ b/packages/gateway/test/peer_codec_test.cpp
@@ -68,6 +68,26 @@
   CHECK(out.Quarantined[0].Trials == 2);
 }
 
+TEST_CASE_METHOD(PeerCodecFixture, "peer_codec_limits_round_trip") {
+  routing::LoadReport report;
+  report.Limits = {
+      {{TargetId{"e-1"}, 1'791'368'900'847}, 5.2, milliseconds(40), 2.5, 17},
+      {{TargetId{"e-2"}, 1}, std::nullopt, milliseconds(0), 0, 0}};
+  CHECK_FALSE(report.isEmpty());
+  const std::optional<routing::LoadReport> decoded = roundTrip(report);
+  REQUIRE(decoded);
+  REQUIRE(decoded->Limits.size() == 2);
+  for (std::size_t i = 0; i < 2; ++i) {
+    CHECK(decoded->Limits[i].Process == report.Limits[i].Process);
+    CHECK(decoded->Limits[i].Rate == report.Limits[i].Rate);
+    CHECK(decoded->Limits[i].Age == report.Limits[i].Age);
+    CHECK(decoded->Limits[i].Demand == report.Limits[i].Demand);
+    CHECK(decoded->Limits[i].Sent == report.Limits[i].Sent);
+  }
+  report.Limits[0].Rate = -1;
+  CHECK_FALSE(roundTrip(report));
+}
+
 TEST_CASE_METHOD(PeerCodecFixture,
                  "peer_codec_any_bytes_are_decoded_or_rejected") {
   const bool passed = rc::check([](const std::string &bytes) {
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -70,6 +70,8 @@
   Overloaded,
   TeamOverShare,
   RetryBudget,
+  /// The targets get as many requests as they state they take.
+  TargetsLimited,
   /// Engines have ended under a part of the prompt.
   PromptQuarantined,
 };
@@ -270,6 +272,8 @@
     double BacklogFraction = 0;
     double MeanRecentTokens = 0;
     std::optional<Time> SummedUpAt;
+    /// When the last request rejected for limits was told to return.
+    Time LastReturnAt{};
   };
   /// An engine that a request could be sent to.
   struct EngineCandidate {
@@ -281,8 +285,12 @@
     /// Recently sent prompt tokens relative to the mean of all eligible
     /// engines, minus one; at most 1.
     double Imbalance = 0;
+    double Cost = 0;
   };
 
+  static TargetProcess processOf(const TargetState &state) {
+    return {state.Known.Entry.Target, state.Known.Entry.StartedAtMs};
+  }
   /// The target of an assignment; null if it is gone or another process.
   TargetState *assignedTarget(const Assignment &assignment);
   bool isEligible(TargetState &state, const DispatchRequest &request, Time now);
@@ -292,8 +300,15 @@
   PoolState &poolState(const PoolId &pool, Time now);
   std::vector<TargetState *> candidates(const DispatchRequest &request,
                                         Time now);
+  /// Rejects a request as all targets of its pool are at their limits.
+  /// Successive requests are told to return one after the other, at the rate at
+  /// which this router may send.
+  Rejection rejectForLimits(const DispatchRequest &request, Time now);
   Assignment assign(TargetState &state, const DispatchRequest &request,
                     Time now);
+  Assignment assignEngine(const EngineCandidate &engine,
+                          const DispatchRequest &request, double usage,
+                          Time now);
   /// Fraction of the objective that the expected time may reach for a team with
   /// this fair-share usage.
   double waitFraction(double usage) const;
@@ -301,11 +316,16 @@
                                                 const EngineLimits &limits,
                                                 const TargetId *preferred,
                                                 bool compareAll, Time now);
-  /// Returns the engine with the lowest cost, among all candidates or a random
-  /// sample.
-  std::optional<EngineCandidate> bestEngine(const DispatchRequest &request,
-                                            const PoolRule &pool,
-                                            bool compareAll, Time now);
+  /// Returns the engines by their cost, lowest first: all candidates or a
+  /// random sample.
+  std::vector<EngineCandidate> rankEngines(const DispatchRequest &request,
+                                           const PoolRule &pool,
+                                           bool compareAll, Time now);
+  /// Sends a request to the first engine of `ranked` whose limit allows it;
+  /// rejects it if that is expected to respond too late.
+  DispatchDecision sendToEngine(const std::vector<EngineCandidate> &ranked,
+                                const DispatchRequest &request, double usage,
+                                Time now);
   /// Maximum expected time to the first event at which a request is still sent.
   Duration waitLimit(const DispatchRequest &request,
                      const EngineCandidate &engine, double usage) const;
--- a/packages/routing/include/nutmegsill/routing/load_report.h
+++ b/packages/routing/include/nutmegsill/routing/load_report.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "nutmegsill/routing/prompt_quarantine.h"
+#include "nutmegsill/routing/target_statements.h"
 #include "nutmegsill/routing/team_share.h"
 #include "nutmegsill/types.h"
 
@@ -56,11 +57,13 @@
   /// Routers, of those in the sum, that serve their requests late.
   std::vector<HostId> OverloadedHosts;
   QuarantineReport Quarantine;
+  std::vector<LimitReport> Limits;
 
-  /// Whether there is nothing to tell of targets, teams and prompts that crash
-  /// engines.
+  /// Whether there is nothing to tell of targets, teams, prompts that crash
+  /// engines, and limits.
   bool isEmpty() const {
-    return Targets.empty() && Teams.empty() && Quarantine.isEmpty();
+    return Targets.empty() && Teams.empty() && Quarantine.isEmpty() &&
+           Limits.empty();
   }
 };
 
--- a/packages/routing/include/nutmegsill/routing/target_statements.h
+++ b/packages/routing/include/nutmegsill/routing/target_statements.h
@@ -1,9 +1,18 @@
-/// Keeps what targets state of themselves in their responses.
+/// Keeps what targets state of themselves in their responses, and divides the
+/// requests that a target takes among the routers.
+///
+/// A target's limit holds for all routers together. The routers exchange with
+/// their load reports how many requests they have for a target at its limit;
+/// each sends the same fraction of its requests there, so that they add up to
+/// the limit. They also exchange how much they have sent: while demand grows,
+/// fractions that are out of date do not exceed the limit for long.
 #pragma once
 
 #include "nutmegsill/routing/fleet_change.h"
+#include "nutmegsill/routing/meter.h"
 #include "nutmegsill/routing/target_process.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -21,30 +30,113 @@
   std::string InvalidRate;
 };
 
+/// A target's limit and its use by one router, or by several together.
+struct LimitReport {
+  TargetProcess Process;
+  /// Requests per second; nothing if the target states no limit any more.
+  std::optional<double> Rate;
+  /// Time since the response that stated it.
+  Duration Age{0};
+  /// Requests per second that were offered to the target.
+  double Demand = 0;
+  /// Requests sent in the last `StatementPolicy::Window`.
+  std::uint32_t Sent = 0;
+};
+
+struct StatementPolicy {
+  /// Time over which the requests of the whole fleet are counted against a
+  /// limit.
+  Duration Window = std::chrono::seconds(4);
+  /// Time in which one router sends no more than the limit allows for it, and
+  /// one request: waiting callers do not come as a burst.
+  Duration BurstWindow = std::chrono::seconds(1);
+  /// Lowest rate, in requests per second: a target that takes nothing is asked
+  /// now and then whether it still does.
+  double MinRate = 0.1;
+  /// Time without any report after which a router counts as cut off from its
+  /// peers, and for which the last report of a silent peer counts.
+  Duration PeerMemory = std::chrono::seconds(5);
+  /// Time after a limit is heard in which the peers have not reported their
+  /// demand.
+  Duration ReportDelay = milliseconds(1'500);
+  /// Time for which a change is reported even without demand.
+  Duration ChangeMemory = std::chrono::seconds(2);
+  /// Least time by which a peer's statement must be newer to replace one of
+  /// another value: reports take some time.
+  Duration MinNewer = milliseconds(200);
+};
+
 /// Not thread-safe.
 class TargetStatements {
 public:
+  explicit TargetStatements(HostId self, StatementPolicy policy = {})
+      : Self(std::move(self)), Policy(policy) {}
+
+  /// Forgets the targets that are not in `known`, and sets the number of
+  /// routers of the fleet.
+  void setFleet(const std::set<TargetProcess> &known, std::size_t routers);
   /// Records the statement of a response to a request sent at `sentAt`.
   void hear(const TargetProcess &process, const TargetStatement &statement,
             Time sentAt, Time now);
-  /// Forgets the targets that are not in `known`.
-  void retain(const std::set<TargetProcess> &known);
+  /// Replaces the previous report of `peer`.
+  void receive(const HostId &peer, std::vector<LimitReport> report, Time now);
+
+  /// Offers a request to a target. If true, the request counts as sent.
+  bool offer(const TargetProcess &process, Time now);
+  /// Requests per second that this router may send; nothing without a limit.
+  std::optional<double> ownRate(const TargetProcess &process, Time now);
   /// The stated limit, in requests per second; nothing without one.
   std::optional<double> statedRate(const TargetProcess &process) const;
+
+  /// The limits and their use by this router.
+  std::vector<LimitReport> ownReport(Time now);
+  /// Adds the use by `peers` to `own`.
+  std::vector<LimitReport> groupReport(const std::vector<LimitReport> &own,
+                                       const std::vector<HostId> &peers,
+                                       Time now) const;
   /// Returns and clears the changes for the log.
   std::vector<FleetChange> takeChanges();
 
 private:
-  struct Limit {
+  struct Target {
+    /// The stated limit.
     std::optional<double> Rate;
     /// When the response that stated it was received.
     Time HeardAt{};
+    Time ChangedAt{};
     bool InvalidLogged = false;
+    /// Sum of the parts of a request that the offers since the last request
+    /// amount to.
+    double Credit = 0;
+    /// Requests offered by this router.
+    Meter Demand{4};
+    /// Times of this router's requests in the last `Window` under the limit.
+    std::deque<Time> SentAt;
+    double PeerDemand = 0;
+    std::uint32_t PeerSent = 0;
+  };
+  struct PeerReport {
+    std::vector<LimitReport> Limits;
+    Time ReceivedAt{};
   };
-  void recordChange(const char *event, const TargetProcess &process,
-                    const std::string &rate);
+  void setRate(const TargetProcess &process, std::optional<double> rate,
+               Time heardAt, const char *source, Time now);
+  /// Fraction of the offered requests that the limit allows.
+  double allowedFraction(Target &target, Time now) const;
+  /// Requests of this router in the last `StatementPolicy::Window`.
+  std::uint32_t countSent(Target &target, Time now) const;
+  /// Whether the requests counted so far leave room for another.
+  bool hasRoom(Target &target, Time now) const;
+  void expirePeers(Time now);
+  void subtract(const PeerReport &report);
 
-  std::map<TargetProcess, Limit> Limits;
+  HostId Self;
+  StatementPolicy Policy;
+  std::size_t Routers = 1;
+  std::map<TargetProcess, Target> Targets;
+  std::map<HostId, PeerReport> Peers;
+  /// Time of the last report of any peer.
+  Time LastReportAt{};
   std::vector<FleetChange> Changes;
 };
 
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -21,6 +21,10 @@
 constexpr Duration StallTimeout = milliseconds(1'500);
 /// Fewest outstanding tokens from which a prefill rate is learned.
 constexpr double MinObservedTokens = 1'500;
+/// Bounds of the Retry-After of a request that was rejected as all targets are
+/// at their limits.
+constexpr Duration MinLimitRetryAfter = milliseconds(300);
+constexpr Duration MaxLimitRetryAfter = std::chrono::seconds(5);
 /// Retry-After when the retry budget is exhausted.
 constexpr Duration ExhaustedBudgetRetryAfter = milliseconds(300);
 /// Penalty of a failure rate of 1, in running requests, when a service target
@@ -46,6 +50,8 @@
     return "team_over_share";
   case RejectionReason::RetryBudget:
     return "retry_budget";
+  case RejectionReason::TargetsLimited:
+    return "targets_limited";
   case RejectionReason::PromptQuarantined:
     return "prompt_quarantined";
   }
@@ -56,7 +62,7 @@
                        RetryBudgetPolicy budget)
     : Self(std::move(self)), Policy(policy), Budget(budget),
       Peers(policy.MaxReportAge), Caches(policy.PrefixCacheRetention),
-      Quarantine(Self),
+      Quarantine(Self), Statements(Self),
       Random(static_cast<std::uint32_t>(rendezvousWeight(Self, "")) | 1U) {}
 
 void Dispatcher::setView(std::shared_ptr<const FleetView> view, Time now) {
@@ -79,9 +85,9 @@
   Targets = std::move(fresh);
   std::set<TargetProcess> processes;
   for (const auto &[id, state] : Targets) {
-    processes.insert({id, state.Known.Entry.StartedAtMs});
+    processes.insert(processOf(state));
   }
-  Statements.retain(processes);
+  Statements.setFleet(processes, View->Routers.size());
   updatePools();
   updateMaxEngineCount();
   updateColdSenders();
@@ -183,6 +189,9 @@
     }
   }
   Quarantine.receive(report.Quarantine, relayed, now);
+  if (!own) {
+    Statements.receive(peer, std::move(report.Limits), now);
+  }
   if (peer != Self) {
     Peers.receiveReport(peer, std::move(report), now);
   }
@@ -236,6 +245,24 @@
   return available.empty() ? fallback : available;
 }
 
+Rejection Dispatcher::rejectForLimits(const DispatchRequest &request,
+                                      Time now) {
+  PoolState &pool = Pools[request.Pool];
+  double rate = 0;
+  for (const TargetState *it : pool.Targets) {
+    rate += Statements.ownRate(processOf(*it), now).value_or(0);
+  }
+  const Duration spacing =
+      std::min(MaxLimitRetryAfter,
+               Duration(static_cast<std::int64_t>(1e6 / std::max(rate, 1e-3))));
+  pool.LastReturnAt = std::min(std::max(now, pool.LastReturnAt) + spacing,
+                               now + MaxLimitRetryAfter);
+  return Rejection{RejectionReason::TargetsLimited,
+                   std::max(MinLimitRetryAfter, pool.LastReturnAt - now),
+                   {},
+                   0};
+}
+
 Assignment Dispatcher::assign(TargetState &state,
                               const DispatchRequest &request, Time now) {
   if (state.Known.ColdUntil > now) {
@@ -250,7 +277,7 @@
   out.Address = state.Known.Entry.Address;
   out.TargetStartedAtMs = state.Known.Entry.StartedAtMs;
   out.Pool = request.Pool;
-  out.StatedRate = Statements.statedRate({out.Target, out.TargetStartedAtMs});
+  out.StatedRate = Statements.statedRate(processOf(state));
   out.SentAt = now;
   out.OldestReportAgeMs =
       std::chrono::duration_cast<milliseconds>(Peers.oldestReportAge(now))
@@ -288,8 +315,7 @@
     return Rejection{RejectionReason::NoTarget, milliseconds(300), {}, 0};
   }
   ++RotationOffset;
-  TargetState *best = nullptr;
-  double bestScore = 0;
+  std::vector<std::pair<double, TargetState *>> ranked;
   for (std::size_t i = 0; i < eligible.size(); ++i) {
     // A rotating start index spreads requests over targets with equal scores.
     TargetState *it = eligible[(i + RotationOffset) % eligible.size()];
@@ -300,12 +326,17 @@
     const double score =
         load + FailurePenalty * it->FailureRate +
         (it->Known.Entry.Zone == OwnZone ? 0.0 : CrossZonePenalty);
-    if (best == nullptr || score < bestScore) {
-      best = it;
-      bestScore = score;
+    ranked.emplace_back(score, it);
+  }
+  std::stable_sort(
+      ranked.begin(), ranked.end(),
+      [](const auto &a, const auto &b) { return a.first < b.first; });
+  for (const auto &[score, it] : ranked) {
+    if (Statements.offer(processOf(*it), now)) {
+      return assign(*it, request, now);
     }
   }
-  return assign(*best, request, now);
+  return rejectForLimits(request, now);
 }
 
 Dispatcher::TargetState *
@@ -420,10 +451,13 @@
       out.OwnReport.Teams.push_back({team, rate});
     }
   }
+  out.OwnReport.Limits = Statements.ownReport(now);
   if (forRemotePeers) {
     out.GroupReport = Peers.aggregateWith(out.OwnReport, Recipients.GroupPeers);
     out.GroupReport.PromptsSent = UnreportedGroupPrompts.take();
     out.GroupReport.Quarantine = Quarantine.takeGroupReport(now);
+    out.GroupReport.Limits = Statements.groupReport(out.OwnReport.Limits,
+                                                    Recipients.GroupPeers, now);
   } else {
     out.Recipients.RemotePeers.clear();
   }
--- a/packages/routing/src/engine_choice.cpp
+++ b/packages/routing/src/engine_choice.cpp
@@ -168,28 +168,25 @@
   return out;
 }
 
-std::optional<Dispatcher::EngineCandidate>
-Dispatcher::bestEngine(const DispatchRequest &request, const PoolRule &pool,
-                       bool compareAll, Time now) {
+std::vector<Dispatcher::EngineCandidate>
+Dispatcher::rankEngines(const DispatchRequest &request, const PoolRule &pool,
+                        bool compareAll, Time now) {
   const TargetId *preferred = preferredTarget(request.Prompt, request.Pool);
-  const std::vector<EngineCandidate> engines =
+  std::vector<EngineCandidate> engines =
       engineCandidates(request, *pool.Engine, preferred, compareAll, now);
   std::uint32_t cachedAnywhere = 0;
   for (const EngineCandidate &it : engines) {
     cachedAnywhere = std::max(cachedAnywhere, it.CachedTokens);
   }
   const double backlog = poolState(request.Pool, now).BacklogFraction;
-  const EngineCandidate *best = nullptr;
-  double bestCost = 0;
-  for (const EngineCandidate &it : engines) {
-    const double cost =
-        candidateCost(it, request, preferred, cachedAnywhere, backlog);
-    if (best == nullptr || cost < bestCost) {
-      best = &it;
-      bestCost = cost;
-    }
+  for (EngineCandidate &it : engines) {
+    it.Cost = candidateCost(it, request, preferred, cachedAnywhere, backlog);
   }
-  return best == nullptr ? std::nullopt : std::optional<EngineCandidate>(*best);
+  std::stable_sort(engines.begin(), engines.end(),
+                   [](const EngineCandidate &a, const EngineCandidate &b) {
+                     return a.Cost < b.Cost;
+                   });
+  return engines;
 }
 
 double Dispatcher::fairShareUsage(const DispatchRequest &request, Time now) {
@@ -225,36 +222,55 @@
                                           Time now) {
   const PoolRule &pool = *View->Config->findPool(request.Pool);
   const double usage = fairShareUsage(request, now);
-  const auto excessWait = [&](const EngineCandidate &it) {
-    return request.ElapsedTime + it.ExpectedFirstEvent -
-           waitLimit(request, it, usage);
-  };
-  std::optional<EngineCandidate> best = bestEngine(request, pool, false, now);
-  if (best && excessWait(*best) > Duration{0} && usage < Policy.WaitRampStart) {
+  DispatchDecision decision =
+      sendToEngine(rankEngines(request, pool, false, now), request, usage, now);
+  const Rejection *rejection = std::get_if<Rejection>(&decision);
+  if (rejection != nullptr && usage < Policy.WaitRampStart &&
+      !Recipients.RemotePeers.empty()) {
     // A team within its fair share must not be rejected because of an
     // unfavourable random sample.
-    best = bestEngine(request, pool, true, now);
+    decision = sendToEngine(rankEngines(request, pool, true, now), request,
+                            usage, now);
   }
-  if (!best) {
-    return Rejection{RejectionReason::NoTarget, milliseconds(500), {}, 0};
-  }
-  if (excessWait(*best) > Duration{0}) {
-    const Duration retryAfter = std::clamp<Duration>(
-        excessWait(*best) + MinRetryAfter, MinRetryAfter, MaxRetryAfter);
-    return Rejection{usage < Policy.WaitRampStart
-                         ? RejectionReason::Overloaded
-                         : RejectionReason::TeamOverShare,
-                     retryAfter, best->ExpectedFirstEvent, usage};
+  return decision;
+}
+
+DispatchDecision
+Dispatcher::sendToEngine(const std::vector<EngineCandidate> &ranked,
+                         const DispatchRequest &request, double usage,
+                         Time now) {
+  for (const EngineCandidate &it : ranked) {
+    const Duration excessWait = request.ElapsedTime + it.ExpectedFirstEvent -
+                                waitLimit(request, it, usage);
+    if (excessWait > Duration{0}) {
+      const Duration retryAfter = std::clamp<Duration>(
+          excessWait + MinRetryAfter, MinRetryAfter, MaxRetryAfter);
+      return Rejection{usage < Policy.WaitRampStart
+                           ? RejectionReason::Overloaded
+                           : RejectionReason::TeamOverShare,
+                       retryAfter, it.ExpectedFirstEvent, usage};
+    }
+    if (Statements.offer(processOf(*it.Target), now)) {
+      return assignEngine(it, request, usage, now);
+    }
   }
-  Assignment out = assign(*best->Target, request, now);
-  out.CachedTokens = best->CachedTokens;
-  out.PrefillTokens = request.Prompt.InputTokens - best->CachedTokens;
-  out.OutstandingTokens = best->OutstandingTokens;
-  out.ExpectedFirstEvent = best->ExpectedFirstEvent;
+  return ranked.empty()
+             ? Rejection{RejectionReason::NoTarget, milliseconds(500), {}, 0}
+             : rejectForLimits(request, now);
+}
+
+Assignment Dispatcher::assignEngine(const EngineCandidate &engine,
+                                    const DispatchRequest &request,
+                                    double usage, Time now) {
+  Assignment out = assign(*engine.Target, request, now);
+  out.CachedTokens = engine.CachedTokens;
+  out.PrefillTokens = request.Prompt.InputTokens - engine.CachedTokens;
+  out.OutstandingTokens = engine.OutstandingTokens;
+  out.ExpectedFirstEvent = engine.ExpectedFirstEvent;
   out.FairShareUsage = usage;
   Shares.recordServed(request.Team, request.Prompt.ratedTokens(), now);
-  best->Target->PrefillTokens += out.PrefillTokens;
-  best->Target->RecentTokens += static_cast<double>(out.PrefillTokens);
+  engine.Target->PrefillTokens += out.PrefillTokens;
+  engine.Target->RecentTokens += static_cast<double>(out.PrefillTokens);
   const SentPrompts update = Caches.recordOwnPrompt(out.Target, request.Prompt,
                                                     out.PrefillTokens, now);
   UnreportedOwnPrompts.add(update);
--- a/packages/routing/src/target_statements.cpp
+++ b/packages/routing/src/target_statements.cpp
@@ -1,50 +1,247 @@
 #include "nutmegsill/routing/target_statements.h"
 
+#include "nutmegsill/rendezvous.h"
+
+#include <algorithm>
+
 namespace nutmegsill::routing {
 
+namespace {
+
+/// Requests that a router may send at once.
+constexpr double MaxCredit = 1;
+/// Demand below which a limit is not reported, in requests per second.
+constexpr double MinReportedDemand = 0.05;
+
+void recordChange(std::vector<FleetChange> &changes, const char *event,
+                  const TargetProcess &process, const std::string &rate,
+                  const char *source) {
+  changes.push_back({event,
+                     {{"target", process.Target.Text},
+                      {"started_at_ms", std::to_string(process.StartedAtMs)},
+                      {"requests_per_s", rate},
+                      {"source", source}}});
+}
+
+} // namespace
+
+void TargetStatements::setFleet(const std::set<TargetProcess> &known,
+                                std::size_t routers) {
+  Routers = std::max<std::size_t>(1, routers);
+  std::erase_if(
+      Targets, [&known](const auto &it) { return known.count(it.first) == 0; });
+}
+
+void TargetStatements::setRate(const TargetProcess &process,
+                               std::optional<double> rate, Time heardAt,
+                               const char *source, Time now) {
+  Target &limit = Targets[process];
+  limit.HeardAt = heardAt;
+  if (limit.Rate == rate) {
+    return;
+  }
+  if (!limit.Rate) {
+    // Routers with few requests each do not send their first at the same time.
+    limit.Credit = static_cast<double>(
+                       rendezvousWeight(Self, process.Target.Text) >> 32U) /
+                   4294967296.0;
+  }
+  const double value = rate ? *rate : limit.Rate.value_or(0);
+  recordChange(Changes, rate ? "limit_stated" : "limit_ended", process,
+               std::to_string(value), source);
+  limit.Rate = rate;
+  limit.ChangedAt = now;
+}
+
 void TargetStatements::hear(const TargetProcess &process,
                             const TargetStatement &statement, Time sentAt,
                             Time now) {
   if (!statement.InvalidRate.empty()) {
-    Limit &limit = Limits[process];
+    Target &limit = Targets[process];
     if (!limit.InvalidLogged) {
       limit.InvalidLogged = true;
-      recordChange("limit_invalid", process, statement.InvalidRate);
+      recordChange(Changes, "limit_invalid", process, statement.InvalidRate,
+                   "response");
     }
-    if (!statement.RequestRate) {
-      return;
+  }
+  if (statement.RequestRate) {
+    setRate(process, statement.RequestRate, now, "response", now);
+    return;
+  }
+  const auto known = Targets.find(process);
+  // A response to an earlier request may be older than the statement.
+  const bool ended = known != Targets.end() && known->second.Rate &&
+                     statement.InvalidRate.empty() &&
+                     sentAt > known->second.HeardAt;
+  if (ended) {
+    setRate(process, std::nullopt, now, "response", now);
+  }
+}
+
+void TargetStatements::receive(const HostId &peer,
+                               std::vector<LimitReport> report, Time now) {
+  LastReportAt = now;
+  const auto old = Peers.find(peer);
+  if (old != Peers.end()) {
+    subtract(old->second);
+  } else if (report.empty()) {
+    return;
+  }
+  for (const LimitReport &it : report) {
+    const Time heardAt = now - it.Age;
+    const auto known = Targets.find(it.Process);
+    const bool isNews =
+        known == Targets.end()
+            ? it.Rate.has_value()
+            : known->second.Rate != it.Rate &&
+                  heardAt > known->second.HeardAt + Policy.MinNewer;
+    if (isNews) {
+      setRate(it.Process, it.Rate, heardAt, "peer", now);
+    }
+    const auto limit = Targets.find(it.Process);
+    if (limit != Targets.end()) {
+      limit->second.PeerDemand += it.Demand;
+      limit->second.PeerSent += it.Sent;
     }
   }
-  const auto known = Limits.find(process);
-  if (!statement.RequestRate) {
-    // A response to an earlier request may be older than the statement.
-    const bool ends = known != Limits.end() && known->second.Rate &&
-                      sentAt > known->second.HeardAt;
-    if (ends) {
-      recordChange("limit_ended", process, std::to_string(*known->second.Rate));
-      known->second.Rate.reset();
-      known->second.HeardAt = now;
+  Peers[peer] = PeerReport{std::move(report), now};
+}
+
+void TargetStatements::subtract(const PeerReport &report) {
+  for (const LimitReport &it : report.Limits) {
+    const auto limit = Targets.find(it.Process);
+    if (limit != Targets.end()) {
+      limit->second.PeerDemand =
+          std::max(0.0, limit->second.PeerDemand - it.Demand);
+      limit->second.PeerSent -= std::min(limit->second.PeerSent, it.Sent);
     }
-    return;
   }
-  Limit &limit = Limits[process];
-  if (limit.Rate != statement.RequestRate) {
-    recordChange("limit_stated", process,
-                 std::to_string(*statement.RequestRate));
+}
+
+void TargetStatements::expirePeers(Time now) {
+  for (auto it = Peers.begin(); it != Peers.end();) {
+    if (now - it->second.ReceivedAt <= Policy.PeerMemory) {
+      ++it;
+      continue;
+    }
+    subtract(it->second);
+    it = Peers.erase(it);
+  }
+}
+
+double TargetStatements::allowedFraction(Target &target, Time now) const {
+  const double own = target.Demand.rate(now);
+  const bool peersKnown = now - target.ChangedAt >= Policy.ReportDelay &&
+                          now - LastReportAt < Policy.PeerMemory;
+  const double assumed =
+      peersKnown ? 0 : own * static_cast<double>(Routers - 1);
+  const double all = own + std::max(assumed, target.PeerDemand);
+  return std::min(1.0,
+                  std::max(Policy.MinRate, *target.Rate) / std::max(all, 1e-6));
+}
+
+std::uint32_t TargetStatements::countSent(Target &target, Time now) const {
+  while (!target.SentAt.empty() &&
+         target.SentAt.front() + Policy.Window <= now) {
+    target.SentAt.pop_front();
   }
-  limit.Rate = statement.RequestRate;
-  limit.HeardAt = now;
+  return static_cast<std::uint32_t>(target.SentAt.size());
 }
 
-void TargetStatements::retain(const std::set<TargetProcess> &known) {
-  std::erase_if(
-      Limits, [&known](const auto &it) { return known.count(it.first) == 0; });
+bool TargetStatements::hasRoom(Target &target, Time now) const {
+  const double all = countSent(target, now) + target.PeerSent;
+  const auto recent = std::upper_bound(
+      target.SentAt.begin(), target.SentAt.end(), now - Policy.BurstWindow);
+  const double ownRecent =
+      static_cast<double>(std::distance(recent, target.SentAt.end()));
+  return all <= *target.Rate * toSeconds(Policy.Window) &&
+         ownRecent <= *target.Rate * toSeconds(Policy.BurstWindow);
+}
+
+bool TargetStatements::offer(const TargetProcess &process, Time now) {
+  Target &target = Targets[process];
+  target.Demand.add(1, now);
+  if (!target.Rate) {
+    return true;
+  }
+  target.Credit =
+      std::min(MaxCredit, target.Credit + allowedFraction(target, now));
+  if (target.Credit < 1 || !hasRoom(target, now)) {
+    return false;
+  }
+  target.Credit -= 1;
+  target.SentAt.push_back(now);
+  return true;
+}
+
+std::optional<double> TargetStatements::ownRate(const TargetProcess &process,
+                                                Time now) {
+  const auto it = Targets.find(process);
+  if (it == Targets.end() || !it->second.Rate) {
+    return std::nullopt;
+  }
+  return it->second.Demand.rate(now) * allowedFraction(it->second, now);
 }
 
 std::optional<double>
 TargetStatements::statedRate(const TargetProcess &process) const {
-  const auto known = Limits.find(process);
-  return known == Limits.end() ? std::nullopt : known->second.Rate;
+  const auto it = Targets.find(process);
+  return it == Targets.end() ? std::nullopt : it->second.Rate;
+}
+
+std::vector<LimitReport> TargetStatements::ownReport(Time now) {
+  expirePeers(now);
+  std::vector<LimitReport> out;
+  for (auto &[process, limit] : Targets) {
+    LimitReport entry;
+    entry.Process = process;
+    entry.Rate = limit.Rate;
+    entry.Age = now - limit.HeardAt;
+    entry.Demand = limit.Demand.rate(now);
+    entry.Sent = countSent(limit, now);
+    const bool inUse =
+        limit.Rate && (entry.Demand >= MinReportedDemand || entry.Sent > 0);
+    const bool isNew = limit.ChangedAt != Time{} &&
+                       now - limit.ChangedAt < Policy.ChangeMemory;
+    if (inUse || isNew) {
+      out.push_back(std::move(entry));
+    }
+  }
+  return out;
+}
+
+std::vector<LimitReport>
+TargetStatements::groupReport(const std::vector<LimitReport> &own,
+                              const std::vector<HostId> &peers,
+                              Time now) const {
+  std::map<TargetProcess, LimitReport> sums;
+  for (const LimitReport &it : own) {
+    sums[it.Process] = it;
+  }
+  for (const HostId &peer : peers) {
+    const auto report = Peers.find(peer);
+    if (report == Peers.end()) {
+      continue;
+    }
+    for (const LimitReport &it : report->second.Limits) {
+      const auto known = Targets.find(it.Process);
+      if (known == Targets.end()) {
+        continue;
+      }
+      LimitReport &sum = sums[it.Process];
+      sum.Process = it.Process;
+      sum.Rate = known->second.Rate;
+      sum.Age = now - known->second.HeardAt;
+      sum.Demand += it.Demand;
+      sum.Sent += it.Sent;
+    }
+  }
+  std::vector<LimitReport> out;
+  out.reserve(sums.size());
+  for (auto &[process, sum] : sums) {
+    out.push_back(std::move(sum));
+  }
+  return out;
 }
 
 std::vector<FleetChange> TargetStatements::takeChanges() {
@@ -53,13 +250,4 @@
   return out;
 }
 
-void TargetStatements::recordChange(const char *event,
-                                    const TargetProcess &process,
-                                    const std::string &rate) {
-  Changes.push_back({event,
-                     {{"target", process.Target.Text},
-                      {"started_at_ms", std::to_string(process.StartedAtMs)},
-                      {"requests_per_s", rate}}});
-}
-
 } // namespace nutmegsill::routing
--- a/packages/routing/test/dispatcher_test.cpp
+++ b/packages/routing/test/dispatcher_test.cpp
@@ -302,4 +302,57 @@
   CHECK(TestedDispatcher.collectReports(at(30)).OwnReport.Targets.empty());
 }
 
+TEST_CASE_METHOD(DispatcherFixture,
+                 "dispatcher_requests_beyond_limit_go_to_other_targets") {
+  TargetStatement statement;
+  statement.RequestRate = 2;
+  std::map<std::string, int> sent;
+  for (int ms = 0; ms < 10'000; ms += 20) {
+    const std::uint64_t part = 1 + static_cast<std::uint64_t>(ms);
+    for (const DispatchRequest &it :
+         {checkRequest(), captionRequest(part, 100, 10)}) {
+      std::optional<Assignment> assignment = send(it, at(ms));
+      REQUIRE(assignment);
+      ++sent[assignment->Target.Text];
+      if (assignment->Target.Text.ends_with("-1")) {
+        TestedDispatcher.recordStatement(*assignment, statement, at(ms + 5));
+      }
+      TestedDispatcher.recordProgress(*assignment, at(ms + 5));
+      TestedDispatcher.recordResult(*assignment, ExchangeResult::Completed,
+                                    at(ms + 10));
+    }
+  }
+  for (const char *it : {"d-1", "e-1"}) {
+    CHECK(sent[it] >= 10);
+    CHECK(sent[it] <= 25);
+  }
+}
+
+TEST_CASE_METHOD(DispatcherFixture,
+                 "dispatcher_all_targets_at_limit_rejects_at_once") {
+  TargetStatement statement;
+  statement.RequestRate = 1;
+  Duration lastReturn{0};
+  int rejected = 0;
+  for (int ms = 0; ms < 2'000; ms += 20) {
+    const DispatchRequest request = checkRequest();
+    TestedDispatcher.recordRequest(request, at(ms));
+    const DispatchDecision decision =
+        TestedDispatcher.chooseTarget(request, at(ms));
+    if (const Assignment *it = std::get_if<Assignment>(&decision)) {
+      TestedDispatcher.recordStatement(*it, statement, at(ms));
+      continue;
+    }
+    const Rejection &rejection = std::get<Rejection>(decision);
+    CHECK(rejection.Reason == RejectionReason::TargetsLimited);
+    CHECK(rejection.RetryAfter >= milliseconds(300));
+    CHECK(rejection.RetryAfter <= std::chrono::seconds(5));
+    // Those that are rejected later return later.
+    CHECK(milliseconds(ms) + rejection.RetryAfter >= lastReturn);
+    lastReturn = milliseconds(ms) + rejection.RetryAfter;
+    ++rejected;
+  }
+  CHECK(rejected >= 85);
+}
+
 } // namespace nutmegsill::routing
