--- a/packages/standins/src/http_server.cpp
+++ b/packages/standins/src/http_server.cpp
@@ -28,6 +28,9 @@
   response.version(11);
   response.result(status);
   response.set(http::field::content_type, contentType);
+  for (const auto &[name, value] : ResponseFields) {
+    response.set(name, value);
+  }
   response.body() = std::move(body);
   response.prepare_payload();
   co_await http::async_write(Stream, response,
--- a/packages/standins/src/http_server.h
+++ b/packages/standins/src/http_server.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 
 #include <functional>
+#include <map>
 #include <string>
 
 namespace nutmegsill::standin {
@@ -24,6 +25,11 @@
 
   const ServerRequest Request;
 
+  /// Sets a field of the responses by `respond` and `respondJson`.
+  void setResponseField(const std::string &name, const std::string &value) {
+    ResponseFields[name] = value;
+  }
+
   boost::asio::awaitable<void> respond(unsigned status, std::string contentType,
                                        std::string body);
   /// Responds with status 200 and a JSON body.
@@ -46,6 +52,7 @@
 
 private:
   boost::beast::tcp_stream &Stream;
+  std::map<std::string, std::string> ResponseFields;
   bool Closed = false;
 };
 
--- a/packages/standins/src/store_standin.cpp
+++ b/packages/standins/src/store_standin.cpp
@@ -68,9 +68,10 @@
 
 std::optional<std::string> StoreStandin::get(const std::string &key) {
   const std::lock_guard<std::mutex> lock(Mutex);
-  const auto it = Items.find(key);
-  return it == Items.end() ? std::nullopt
-                           : std::optional<std::string>(it->second.Value);
+  const auto it = Stored.Items.find(key);
+  return it == Stored.Items.end()
+             ? std::nullopt
+             : std::optional<std::string>(it->second.Value);
 }
 
 std::vector<std::string>
@@ -78,7 +79,7 @@
   const std::lock_guard<std::mutex> lock(Mutex);
   expireLeases();
   std::vector<std::string> keys;
-  for (const auto &[key, item] : Items) {
+  for (const auto &[key, item] : Stored.Items) {
     if (hasPrefix(key, prefix)) {
       keys.push_back(key);
     }
@@ -89,33 +90,50 @@
 void StoreStandin::dropHistory() {
   const std::lock_guard<std::mutex> lock(Mutex);
   History.clear();
-  OldestRevision = ++Revision;
+  OldestRevision = ++Stored.Revision;
+}
+
+void StoreStandin::setEra(ServerExchange &exchange) const {
+  exchange.setResponseField("Store-Era", std::to_string(Era));
+}
+
+void StoreStandin::keepCopy() {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  Copy = Stored;
+}
+
+void StoreStandin::restoreCopy() {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  Stored = Copy;
+  History.clear();
+  OldestRevision = Stored.Revision;
+  ++Era;
 }
 
 std::uint64_t StoreStandin::putLocked(const std::string &key,
                                       const std::string &bytes,
                                       std::uint64_t leaseId) {
-  const Item item{bytes, ++Revision, leaseId};
-  Items[key] = item;
-  History.push_back({key, item, Revision});
-  return Revision;
+  const Item item{bytes, ++Stored.Revision, leaseId};
+  Stored.Items[key] = item;
+  History.push_back({key, item, Stored.Revision});
+  return Stored.Revision;
 }
 
 void StoreStandin::eraseLocked(const std::string &key) {
-  if (Items.erase(key) != 0) {
-    History.push_back({key, std::nullopt, ++Revision});
+  if (Stored.Items.erase(key) != 0) {
+    History.push_back({key, std::nullopt, ++Stored.Revision});
   }
 }
 
 void StoreStandin::expireLeases() {
   const auto now = std::chrono::steady_clock::now();
-  for (auto it = Leases.begin(); it != Leases.end();) {
+  for (auto it = Stored.Leases.begin(); it != Stored.Leases.end();) {
     if (it->second.ExpiresAt > now) {
       ++it;
       continue;
     }
     std::vector<std::string> keys;
-    for (const auto &[key, item] : Items) {
+    for (const auto &[key, item] : Stored.Items) {
       if (item.LeaseId == it->first) {
         keys.push_back(key);
       }
@@ -123,12 +141,13 @@
     for (const std::string &key : keys) {
       eraseLocked(key);
     }
-    it = Leases.erase(it);
+    it = Stored.Leases.erase(it);
   }
 }
 
 asio::awaitable<void> StoreStandin::handleRequest(ServerExchange &exchange) {
   ++CallCount;
+  setEra(exchange);
   if (Mode == StoreMode::Silent) {
     co_await exchange.sleep(SilentDuration);
     exchange.resetConnection();
@@ -158,6 +177,7 @@
   {
     const std::lock_guard<std::mutex> lock(Mutex);
     expireLeases();
+    setEra(exchange);
     body = handleCall(exchange.Request, status);
   }
   if (delayed) {
@@ -188,8 +208,10 @@
     {
       const std::lock_guard<std::mutex> lock(Mutex);
       expireLeases();
-      historyGone = afterRevision < OldestRevision;
-      currentRevision = Revision;
+      setEra(exchange);
+      historyGone =
+          afterRevision < OldestRevision || afterRevision > Stored.Revision;
+      currentRevision = Stored.Revision;
       for (const Change &it : History) {
         if (it.Revision <= afterRevision) {
           continue;
@@ -240,7 +262,7 @@
 std::string StoreStandin::handleList(const std::string &prefix,
                                      const std::string &afterKey) {
   json entries = json::array();
-  for (const auto &[key, item] : Items) {
+  for (const auto &[key, item] : Stored.Items) {
     if (hasPrefix(key, prefix) && key > afterKey) {
       entries.push_back({{"key", key},
                          {"val", encodeBase64(item.Value)},
@@ -249,7 +271,8 @@
                          {"lease-id", item.LeaseId}});
     }
   }
-  return json{{"entries", entries}, {"has-more", false}, {"at", Revision}}
+  return json{
+      {"entries", entries}, {"has-more", false}, {"at", Stored.Revision}}
       .dump();
 }
 
@@ -259,9 +282,9 @@
   json currentRevisions = json::array();
   bool conditionsHold = true;
   for (const json &it : root["expect-rev"]) {
-    const auto item = Items.find(it["key"].get<std::string>());
+    const auto item = Stored.Items.find(it["key"].get<std::string>());
     const std::uint64_t currentRevision =
-        item == Items.end() ? 0 : item->second.Revision;
+        item == Stored.Items.end() ? 0 : item->second.Revision;
     conditionsHold = conditionsHold &&
                      currentRevision == it["revision"].get<std::uint64_t>();
     if (currentRevision != 0) {
@@ -275,14 +298,14 @@
   }
   for (const json &it : root["write"]) {
     const std::uint64_t id = it["lease-id"].get<std::uint64_t>();
-    if (id != 0 && Leases.count(id) == 0) {
+    if (id != 0 && Stored.Leases.count(id) == 0) {
       status = 404;
       return "{}";
     }
     putLocked(it["key"].get<std::string>(),
               decodeBase64(it["val"].get<std::string>()).value_or(""), id);
   }
-  return json{{"revision", Revision}}.dump();
+  return json{{"revision", Stored.Revision}}.dump();
 }
 
 std::string StoreStandin::handleLease(const ServerRequest &request,
@@ -292,12 +315,13 @@
   if (target == "/kv-lease") {
     const std::chrono::milliseconds ttl(
         json::parse(request.body())["ttl-ms"].get<std::int64_t>());
-    Leases[++LastLeaseId] = {now + ttl, ttl};
-    return json{{"lease-id", LastLeaseId}, {"ttl-ms", ttl.count()}}.dump();
+    Stored.Leases[++Stored.LastLeaseId] = {now + ttl, ttl};
+    return json{{"lease-id", Stored.LastLeaseId}, {"ttl-ms", ttl.count()}}
+        .dump();
   }
   const auto it =
-      Leases.find(parseNumber(target.substr(target.rfind('/') + 1)));
-  if (it == Leases.end()) {
+      Stored.Leases.find(parseNumber(target.substr(target.rfind('/') + 1)));
+  if (it == Stored.Leases.end()) {
     status = 404;
     return "{}";
   }
--- a/packages/standins/src/store_standin.h
+++ b/packages/standins/src/store_standin.h
@@ -45,6 +45,11 @@
   /// Discards the change history and advances the revision: watches after an
   /// earlier revision than the new one get status 410.
   void dropHistory();
+  /// Keeps a copy of the items and leases for `restoreCopy`.
+  void keepCopy();
+  /// Replaces the items, leases and revision by the copy, without history, and
+  /// raises the number in the "Store-Era" field of all responses.
+  void restoreCopy();
   /// Executes the next `count` POST calls but resets their connections without
   /// a response.
   void dropNextResponses(int count) { ResponsesToDrop = count; }
@@ -82,6 +87,8 @@
   std::string handleWrite(const std::string &body, unsigned &status);
   /// Grants, renews or ends a lease.
   std::string handleLease(const ServerRequest &request, unsigned &status);
+  /// Names the present history in the response.
+  void setEra(ServerExchange &exchange) const;
   // `handleCall`, the handlers that it calls and the functions below require
   // `Mutex` to be held.
   std::uint64_t putLocked(const std::string &key, const std::string &bytes,
@@ -89,13 +96,20 @@
   void eraseLocked(const std::string &key);
   void expireLeases();
 
+  /// What a copy holds.
+  struct Contents {
+    std::map<std::string, Item> Items;
+    std::map<std::uint64_t, Lease> Leases;
+    std::uint64_t Revision = 10;
+    std::uint64_t LastLeaseId = 100;
+  };
+
   std::mutex Mutex;
-  std::map<std::string, Item> Items;
+  Contents Stored;
+  Contents Copy;
   std::vector<Change> History;
-  std::map<std::uint64_t, Lease> Leases;
-  std::uint64_t Revision = 10;
   std::uint64_t OldestRevision = 0;
-  std::uint64_t LastLeaseId = 100;
+  std::atomic<std::uint64_t> Era{1};
   std::atomic<StoreMode> Mode{StoreMode::Serving};
   std::atomic<int> ResponsesToDrop{0};
   std::atomic<int> WritesToDelay{0};
