Compare the store's revisions by its history

After the store had come back from a copy, callers got 404 on added routes and requests ran as an older configuration allowed, until the store's revision had passed the old one, and changes below it were lost for good: revisions were compared as numbers, so a store at a lower one counted as unchanged. Listings were dropped, checks and proofs confirmed what was out of date, and the first reader listed the store 15 times a second in vain.

A revision holds the number of its history, which the store names in all responses; a later history is newer. A watch, relay or proof holds within its history. The first listing of a later one keeps what the copy lacks for the time in which it is written again, and does not undo that a target left, was removed or restarted, or that a zone was evacuated. Leases and entries of an earlier history are forgotten and written anew, as their ids may be given to others. A response that the history is gone ends the pause after failures.

--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -79,6 +79,7 @@
   wire::StoreChanges &out = *message.mutable_changes();
   out.set_after_revision(changes.After.Value);
   out.set_revision(changes.Revision.Value);
+  out.set_era(changes.Revision.Era.Value);
   out.set_outage_grace_ms(
       static_cast<std::uint32_t>(toMilliseconds(changes.OutageGrace)));
   for (const routing::StoredItem &it : changes.Items) {
@@ -93,6 +94,7 @@
 void encode(const routing::StoreProof &proof, wire::PeerMessage &message) {
   wire::StoreProof &out = *message.mutable_proof();
   out.set_revision(proof.Revision.Value);
+  out.set_era(proof.Revision.Era.Value);
   out.set_outage_grace_ms(
       static_cast<std::uint32_t>(toMilliseconds(proof.OutageGrace)));
   for (const routing::StampEcho &it : proof.Stamps) {
@@ -167,8 +169,9 @@
 
 PeerMessage decode(const wire::StoreChanges &in) {
   routing::RelayedChanges changes;
-  changes.After = routing::StoreRevision{in.after_revision()};
-  changes.Revision = routing::StoreRevision{in.revision()};
+  const routing::StoreEra era{in.era()};
+  changes.After = routing::StoreRevision{in.after_revision(), era};
+  changes.Revision = routing::StoreRevision{in.revision(), era};
   changes.OutageGrace = milliseconds(in.outage_grace_ms());
   for (const wire::StoreItem &it : in.items()) {
     changes.Items.push_back(
@@ -179,7 +182,8 @@
 
 PeerMessage decode(const wire::StoreProof &in) {
   routing::StoreProof proof;
-  proof.Revision = routing::StoreRevision{in.revision()};
+  proof.Revision =
+      routing::StoreRevision{in.revision(), routing::StoreEra{in.era()}};
   proof.OutageGrace = milliseconds(in.outage_grace_ms());
   for (const wire::StampEcho &it : in.stamps()) {
     proof.Stamps.push_back(
--- a/packages/gateway/src/registration.cpp
+++ b/packages/gateway/src/registration.cpp
@@ -40,6 +40,9 @@
       co_await sleepFor(Io, InitialBackoff);
       continue;
     }
+    if (HeldLease && HeldLease->Era != Watcher.store().era()) {
+      forgetLease("store_restored");
+    }
     bool registered = false;
     if (HeldLease) {
       registered = co_await renewLease();
@@ -79,6 +82,10 @@
     // attempt gets its revision from the conflict.
     co_return false;
   }
+  if (put.Ok->Era != lease.Ok->Era) {
+    // The entry may be bound to a lease of another router.
+    co_return false;
+  }
   HeldLease = lease.Ok;
   EntryRevision = *put.Ok;
   logLine("registration", "registered",
@@ -91,15 +98,27 @@
       co_await Watcher.store().renewLease(HeldLease->Id);
   Watcher.recordCall("keep_lease", renewed);
   if (!renewed.Ok && renewed.Failure == platform::StoreFailure::NoLease) {
-    logLine("registration", "lease_ended", {});
-    HeldLease.reset();
-    EntryRevision = StoreRevision{0};
+    forgetLease("lease_ended");
+    co_return false;
+  }
+  if (renewed.Ok && renewed.Ok->Era != HeldLease->Era) {
+    forgetLease("store_restored");
+    co_return co_await registerRouter();
   }
   co_return renewed.Ok.has_value();
 }
 
+void Registration::forgetLease(const char *cause) {
+  logLine("registration", cause, {});
+  HeldLease.reset();
+  EntryRevision = StoreRevision{};
+}
+
 asio::awaitable<void> Registration::endLease() {
   for (int i = 0; i < LeaseEndAttempts && HeldLease; ++i) {
+    if (HeldLease->Era != Watcher.store().era()) {
+      co_return;
+    }
     platform::StoreResult<platform::LeaseId> ended =
         co_await Watcher.store().endLease(HeldLease->Id);
     Watcher.recordCall("end_lease", ended);
--- a/packages/gateway/src/registration.h
+++ b/packages/gateway/src/registration.h
@@ -24,6 +24,8 @@
   boost::asio::awaitable<bool> registerRouter();
   boost::asio::awaitable<bool> renewLease();
   boost::asio::awaitable<void> endLease();
+  /// `cause` is logged.
+  void forgetLease(const char *cause);
 
   boost::asio::io_context &Io;
   StoreWatcher &Watcher;
--- a/packages/gateway/src/store_watcher.cpp
+++ b/packages/gateway/src/store_watcher.cpp
@@ -144,6 +144,10 @@
     // Pages are read one after the other; a watch from the revision of the
     // first page returns all changes made while the others were read.
     revision = revision.value_or(page.Ok->Revision);
+    if (page.Ok->Revision.Era != revision->Era) {
+      Link.recordFailure();
+      co_return;
+    }
     for (StoreUpdate &update : page.Ok->Updates) {
       updates.push_back(std::move(update));
     }
@@ -152,7 +156,13 @@
   }
   // Changes that a watch has returned since the first page are newer than the
   // listing.
-  if (*revision >= Link.revision()) {
+  if (State.isComplete() && revision->Era > Link.revision().Era) {
+    logLine("store", "restored",
+            {{"known", std::to_string(Link.revision().Value)},
+             {"store", std::to_string(revision->Value)},
+             {"era", std::to_string(revision->Era.Value)}});
+    State.applyRestoredListing(updates, bootTimeNow());
+  } else if (*revision >= Link.revision()) {
     State.applyListing(updates, bootTimeNow());
   }
   Link.recordListing(*revision, sentAt);
@@ -233,10 +243,13 @@
   const std::optional<Time> knownAsOf =
       Sharing.recordProof(from.Host, proof, now);
   Handlers.SendToPeer(from.Host, ClockStamp{now});
-  if (!knownAsOf) {
+  // A proof of an earlier history proves nothing in the present one.
+  if (!knownAsOf || proof.Revision.Era < Link.revision().Era) {
     return;
   }
-  State.adoptOutageGrace(proof.OutageGrace, now);
+  if (proof.Revision.Era == Link.revision().Era) {
+    State.adoptOutageGrace(proof.OutageGrace, now);
+  }
   if (Link.confirmRevision(proof.Revision, *knownAsOf)) {
     publishView();
   } else if (!CatchingUp && !readsStore()) {
@@ -255,7 +268,10 @@
   logLine("store", "catching_up",
           {{"known", std::to_string(Link.revision().Value)},
            {"store", std::to_string(revision.Value)}});
-  co_await watchChanges(WatchCall{Link.revision(), Link.policy().MaxProbeWait});
+  if (revision.Era == Link.revision().Era) {
+    co_await watchChanges(
+        WatchCall{Link.revision(), Link.policy().MaxProbeWait});
+  }
   if (!Link.confirmRevision(revision, knownAsOf)) {
     co_await listItems();
   }
@@ -292,11 +308,13 @@
       continue;
     }
     proof.Revision = *revision.Ok;
-    if (!Link.confirmRevision(*revision.Ok, sentAt)) {
+    const bool restored = revision.Ok->Era > Link.revision().Era;
+    if (!restored && !Link.confirmRevision(*revision.Ok, sentAt)) {
       // The change may still arrive with the next watch or its relay.
       co_await sleepFor(Io, Link.policy().WatchLagTolerance + watchDelay());
     }
-    if (!Link.confirmRevision(*revision.Ok, sentAt) && !watchesStore()) {
+    if (!restored && !Link.confirmRevision(*revision.Ok, sentAt) &&
+        !watchesStore()) {
       co_await watchChanges(
           WatchCall{Link.revision(), Link.policy().MaxProbeWait});
     }
--- a/packages/gateway/test/peer_codec_test.cpp
+++ b/packages/gateway/test/peer_codec_test.cpp
@@ -112,8 +112,8 @@
 
 TEST_CASE_METHOD(PeerCodecFixture, "peer_codec_store_messages_round_trip") {
   routing::RelayedChanges changes;
-  changes.After = routing::StoreRevision{7};
-  changes.Revision = routing::StoreRevision{9};
+  changes.After = routing::StoreRevision{7, routing::StoreEra{2}};
+  changes.Revision = routing::StoreRevision{9, routing::StoreEra{2}};
   changes.OutageGrace = milliseconds(1'200);
   changes.Items = {{"written", std::string("a\0b", 3)},
                    {"empty", std::string()},
@@ -129,12 +129,13 @@
   CHECK_FALSE(relayed->Items[2].Value);
 
   routing::StoreProof proof;
-  proof.Revision = routing::StoreRevision{9};
+  proof.Revision = routing::StoreRevision{9, routing::StoreEra{2}};
   proof.OutageGrace = milliseconds(700);
   proof.Stamps = {{Instance{HostId{"host-1"}, IncarnationId{5}},
                    Time(milliseconds(12'345))}};
   const std::optional<routing::StoreProof> proved = roundTrip(proof);
   REQUIRE(proved);
+  CHECK(proved->Revision == proof.Revision);
   CHECK(proved->OutageGrace == proof.OutageGrace);
   REQUIRE(proved->Stamps.size() == 1);
   CHECK(proved->Stamps[0].Router == proof.Stamps[0].Router);
--- a/packages/net/include/nutmegsill/http_client.h
+++ b/packages/net/include/nutmegsill/http_client.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/fields.hpp>
 
 #include <map>
 #include <optional>
@@ -33,6 +34,7 @@
 /// describes the error.
 struct HttpResponse {
   std::optional<unsigned> Status;
+  boost::beast::http::fields Fields;
   std::string Body;
   std::string Reason;
   /// The timeout expired after the connection was established.
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -100,6 +100,7 @@
   }
   reusable = parser.get().keep_alive() && buf.size() == 0;
   response.Status = parser.get().result_int();
+  response.Fields = std::move(static_cast<http::fields &>(parser.get()));
   response.Body = std::move(parser.get().body());
   co_return response;
 }
--- a/packages/routing/include/nutmegsill/routing/fleet_state.h
+++ b/packages/routing/include/nutmegsill/routing/fleet_state.h
@@ -3,6 +3,7 @@
 
 #include "nutmegsill/routing/fleet_change.h"
 #include "nutmegsill/routing/model.h"
+#include "nutmegsill/routing/target_process.h"
 
 #include <string>
 #include <vector>
@@ -18,6 +19,14 @@
   /// after which the failure is treated as an outage. The lease of an entry
   /// lasts for more than two heartbeat intervals of its target.
   Duration OutageThreshold = milliseconds(1'000);
+  /// Time after the store was restored from a copy for which the entry of a
+  /// target that had been removed is not believed: the store removes it again
+  /// after three heartbeat intervals of silence. Evacuations that the copy
+  /// lacks hold as long.
+  Duration RestoreGrace = milliseconds(5'000);
+  /// Time for which removed targets are remembered: more than the age of a
+  /// copy.
+  Duration RemovalMemory = std::chrono::seconds(60);
 };
 
 /// This router's state of the fleet. Updates must be applied in the order of
@@ -29,6 +38,10 @@
 
   /// Replaces the whole state by a complete listing.
   void applyListing(const std::vector<StoreUpdate> &updates, Time now);
+  /// Replaces the state by the first listing of a store that was restored from
+  /// a copy. What the copy lacks is written again soon: until then it is still
+  /// believed, and what is known to have ended since the copy stays so.
+  void applyRestoredListing(const std::vector<StoreUpdate> &updates, Time now);
   void applyUpdate(const StoreUpdate &update, Time now);
   /// Records whether the store responded to a call.
   void recordStoreSuccess(Time now);
@@ -39,8 +52,8 @@
   void adoptOutageGrace(Duration remaining, Time now);
   /// Remaining time of the grace period after an outage; 0 if there is none.
   Duration outageGrace(Time now) const;
-  /// Removes entries whose grace period has ended; returns whether any were
-  /// removed. Removes none while calls to the store fail.
+  /// Ends grace periods that are over; returns whether anything changed. Ends
+  /// none while calls to the store fail.
   bool expire(Time now);
 
   /// Returns the current view. A view built after a change has a higher
@@ -51,7 +64,13 @@
 
 private:
   bool isInOutageGrace(Time now) const;
+  void removeMissing(const std::vector<StoreUpdate> &updates, Time now);
   void setTarget(const TargetEntry &entry, Time now);
+  void eraseTarget(const TargetId &id, const char *reason, Time now);
+  /// Whether an entry of a restored store is older than what is known.
+  bool isSuperseded(const TargetEntry &entry) const;
+  /// Whether the entry is unchanged since it was found superseded.
+  bool isDoubted(const TargetEntry &entry) const;
   void setZoneEvacuated(const ZoneId &zone, bool evacuated, Time now);
   void recordChange(std::string event,
                     std::vector<std::pair<std::string, std::string>> fields);
@@ -75,6 +94,13 @@
   /// Entries that disappeared around an outage, with the time of their removal.
   std::map<TargetId, Time> PendingTargetRemovals;
   std::map<HostId, Time> PendingRouterRemovals;
+  /// When the evacuations end that a restored store lacks.
+  std::map<ZoneId, Time> PendingZoneReturns;
+  /// Processes of targets that were removed, with the time.
+  std::map<TargetProcess, Time> RemovedProcesses;
+  /// Entries of removed processes in a restored store, with the time from which
+  /// they are believed if they are still there.
+  std::map<TargetId, std::pair<TargetEntry, Time>> DoubtedEntries;
   std::set<std::string> ReportedUnreadable;
   bool HasListing = false;
   bool ViewOutdated = true;
--- a/packages/routing/include/nutmegsill/routing/model.h
+++ b/packages/routing/include/nutmegsill/routing/model.h
@@ -133,6 +133,7 @@
   Duration RemainingColdTime{0};
   /// Start time of the process; distinguishes successive processes with one id.
   std::int64_t StartedAtMs = 0;
+  bool operator==(const TargetEntry &) const = default;
 };
 
 /// The entry under which a router registered.
--- a/packages/routing/include/nutmegsill/routing/store_link.h
+++ b/packages/routing/include/nutmegsill/routing/store_link.h
@@ -10,8 +10,22 @@
 
 namespace nutmegsill::routing {
 
-/// A revision of the store's history.
-using StoreRevision = Number<struct StoreRevisionKind>;
+/// Numbers the histories of the store: a store that was restored from a copy
+/// continues from the copy with another history.
+using StoreEra = Number<struct StoreEraKind>;
+
+/// A revision of one of the store's histories. Every revision of a later
+/// history is newer than all of an earlier one.
+struct StoreRevision {
+  std::uint64_t Value = 0;
+  StoreEra Era{};
+
+  bool operator==(const StoreRevision &) const = default;
+  std::strong_ordering operator<=>(const StoreRevision &other) const {
+    const std::strong_ordering eras = Era <=> other.Era;
+    return eras == 0 ? Value <=> other.Value : eras;
+  }
+};
 
 struct StoreLinkPolicy {
   /// Maximum time that a watch waits for a change. A hanging watch is detected
@@ -65,7 +79,7 @@
   /// may stay silent for seconds while the store discards its history.
   void recordWatch(StoreRevision storeRevision);
   /// Records changes that another router has relayed; returns false if changes
-  /// before them are missing.
+  /// before them are missing, or are of another history.
   bool recordRelayed(StoreRevision after, StoreRevision storeRevision);
   /// Records that a read sent at `sentAt` found the store at `storeRevision`.
   /// Returns false if changes up to that revision have not been received yet.
--- a/packages/routing/src/fleet_state.cpp
+++ b/packages/routing/src/fleet_state.cpp
@@ -85,6 +85,54 @@
 
 void FleetState::applyListing(const std::vector<StoreUpdate> &updates,
                               Time now) {
+  removeMissing(updates, now);
+  for (const StoreUpdate &update : updates) {
+    const TargetUpdated *it = std::get_if<TargetUpdated>(&update);
+    if (it == nullptr || !isDoubted(it->Entry)) {
+      applyUpdate(update, now);
+    }
+  }
+  HasListing = true;
+  ViewOutdated = true;
+}
+
+void FleetState::applyRestoredListing(const std::vector<StoreUpdate> &updates,
+                                      Time now) {
+  recordChange("store_restored", {});
+  OutageGraceEnd = std::max(OutageGraceEnd, now + Policy.LeaseExpiryGrace);
+  const std::set<ZoneId> evacuated = EvacuatedZones;
+  for (const ZoneId &it : evacuated) {
+    PendingZoneReturns[it] = now + Policy.RestoreGrace;
+  }
+  removeMissing(updates, now);
+  for (const StoreUpdate &update : updates) {
+    const TargetUpdated *it = std::get_if<TargetUpdated>(&update);
+    if (it == nullptr || !isSuperseded(it->Entry)) {
+      applyUpdate(update, now);
+      continue;
+    }
+    recordChange("target_doubted", {{"target", it->Entry.Target.Text}});
+    DoubtedEntries[it->Entry.Target] = {it->Entry, now + Policy.RestoreGrace};
+  }
+  ViewOutdated = true;
+}
+
+bool FleetState::isSuperseded(const TargetEntry &entry) const {
+  const auto known = Targets.find(entry.Target);
+  if (known != Targets.end()) {
+    return entry.StartedAtMs < known->second.Entry.StartedAtMs;
+  }
+  return RemovedProcesses.count({entry.Target, entry.StartedAtMs}) != 0;
+}
+
+bool FleetState::isDoubted(const TargetEntry &entry) const {
+  const auto it = DoubtedEntries.find(entry.Target);
+  return it != DoubtedEntries.end() && it->second.first == entry;
+}
+
+/// Removes what a listing lacks.
+void FleetState::removeMissing(const std::vector<StoreUpdate> &updates,
+                               Time now) {
   std::set<TargetId> targets;
   std::set<HostId> routers;
   std::set<ZoneId> zones;
@@ -105,15 +153,10 @@
   }
   const std::set<ZoneId> previouslyEvacuated = EvacuatedZones;
   for (const ZoneId &zone : previouslyEvacuated) {
-    if (zones.count(zone) == 0) {
+    if (zones.count(zone) == 0 && PendingZoneReturns.count(zone) == 0) {
       apply(ZoneRestored{zone}, now);
     }
   }
-  for (const StoreUpdate &update : updates) {
-    applyUpdate(update, now);
-  }
-  HasListing = true;
-  ViewOutdated = true;
 }
 
 void FleetState::applyUpdate(const StoreUpdate &update, Time now) {
@@ -153,6 +196,7 @@
 }
 
 void FleetState::apply(const ZoneEvacuated &it, Time now) {
+  PendingZoneReturns.erase(it.Zone);
   if (EvacuatedZones.insert(it.Zone).second) {
     recordChange("zone_taken_out", {{"zone", it.Zone.Text}});
     setZoneEvacuated(it.Zone, true, now);
@@ -160,6 +204,7 @@
 }
 
 void FleetState::apply(const ZoneRestored &it, Time now) {
+  PendingZoneReturns.erase(it.Zone);
   if (EvacuatedZones.erase(it.Zone) != 0) {
     recordChange("zone_taken_back", {{"zone", it.Zone.Text}});
     setZoneEvacuated(it.Zone, false, now);
@@ -168,6 +213,7 @@
 
 void FleetState::setTarget(const TargetEntry &entry, Time now) {
   PendingTargetRemovals.erase(entry.Target);
+  DoubtedEntries.erase(entry.Target);
   const auto before = Targets.find(entry.Target);
   const bool known = before != Targets.end();
   KnownTarget fresh;
@@ -176,9 +222,11 @@
   fresh.ColdUntil = now + entry.RemainingColdTime;
   if (known && before->second.Entry.StartedAtMs == entry.StartedAtMs) {
     fresh.ColdUntil = std::max(fresh.ColdUntil, before->second.ColdUntil);
+    // A process that leaves does not return, whatever a restored store says.
+    fresh.Entry.Draining |= before->second.Entry.Draining;
   }
   const bool same = known && before->second.Entry.Address == entry.Address &&
-                    before->second.Entry.Draining == entry.Draining &&
+                    before->second.Entry.Draining == fresh.Entry.Draining &&
                     before->second.Entry.StartedAtMs == entry.StartedAtMs;
   if (!same) {
     recordChange(known ? "target_changed" : "target_seen",
@@ -186,7 +234,7 @@
                   {"pool", entry.Pool.Text},
                   {"zone", entry.Zone.Text},
                   {"address", entry.Address},
-                  {"draining", entry.Draining ? "true" : "false"},
+                  {"draining", fresh.Entry.Draining ? "true" : "false"},
                   {"cold_ms", millisecondsText(entry.RemainingColdTime)}});
   }
   Targets[entry.Target] = std::move(fresh);
@@ -197,7 +245,19 @@
   setTarget(it.Entry, now);
 }
 
+void FleetState::eraseTarget(const TargetId &id, const char *reason, Time now) {
+  const auto known = Targets.find(id);
+  RemovedProcesses[{id, known->second.Entry.StartedAtMs}] = now;
+  std::erase_if(RemovedProcesses, [this, now](const auto &it) {
+    return now - it.second > Policy.RemovalMemory;
+  });
+  Targets.erase(known);
+  PendingTargetRemovals.erase(id);
+  recordChange("target_gone", {{"target", id.Text}, {"reason", reason}});
+}
+
 void FleetState::apply(const TargetRemoved &it, Time now) {
+  DoubtedEntries.erase(it.Target);
   if (Targets.count(it.Target) == 0) {
     return;
   }
@@ -207,9 +267,7 @@
     recordChange("target_lapsed", {{"target", it.Target.Text}});
     return;
   }
-  Targets.erase(it.Target);
-  PendingTargetRemovals.erase(it.Target);
-  recordChange("target_gone", {{"target", it.Target.Text}});
+  eraseTarget(it.Target, "entry removed", now);
 }
 
 void FleetState::apply(const RouterUpdated &it, Time /*now*/) {
@@ -254,19 +312,28 @@
   if (FailingSince) {
     return false;
   }
-  bool removed = false;
-  for (auto it = PendingTargetRemovals.begin();
-       it != PendingTargetRemovals.end();) {
-    if (it->second > now) {
-      ++it;
-      continue;
+  bool changed = false;
+  const std::map<TargetId, Time> removals = PendingTargetRemovals;
+  for (const auto &[id, removeAt] : removals) {
+    if (removeAt <= now) {
+      eraseTarget(id, "entry not renewed after a store outage", now);
+      changed = true;
+    }
+  }
+  const std::map<TargetId, std::pair<TargetEntry, Time>> doubted =
+      DoubtedEntries;
+  for (const auto &[id, it] : doubted) {
+    if (it.second <= now) {
+      setTarget(it.first, now);
+      changed = true;
+    }
+  }
+  const std::map<ZoneId, Time> returns = PendingZoneReturns;
+  for (const auto &[zone, at] : returns) {
+    if (at <= now) {
+      apply(ZoneRestored{zone}, now);
+      changed = true;
     }
-    Targets.erase(it->first);
-    recordChange("target_gone",
-                 {{"target", it->first.Text},
-                  {"reason", "entry not renewed after a store outage"}});
-    it = PendingTargetRemovals.erase(it);
-    removed = true;
   }
   for (auto it = PendingRouterRemovals.begin();
        it != PendingRouterRemovals.end();) {
@@ -279,9 +346,9 @@
                  {{"router", it->first.Text},
                   {"reason", "entry not renewed after a store outage"}});
     it = PendingRouterRemovals.erase(it);
-    removed = true;
+    changed = true;
   }
-  return removed;
+  return changed;
 }
 
 std::shared_ptr<const FleetView> FleetState::view() {
--- a/packages/routing/src/store_link.cpp
+++ b/packages/routing/src/store_link.cpp
@@ -61,7 +61,9 @@
 
 bool StoreLink::recordRelayed(StoreRevision after,
                               StoreRevision storeRevision) {
-  if (State != "watching" || Revision < after) {
+  const bool sameEra =
+      Revision.Era == after.Era && Revision.Era == storeRevision.Era;
+  if (State != "watching" || !sameEra || Revision < after) {
     return false;
   }
   Revision = std::max(Revision, storeRevision);
@@ -76,7 +78,10 @@
   return true;
 }
 
-void StoreLink::recordHistoryGone() { applyEvent("history_gone"); }
+void StoreLink::recordHistoryGone() {
+  applyEvent("history_gone");
+  CurrentBackoff = Duration{0};
+}
 
 void StoreLink::recordFailure() {
   applyEvent("failed");
--- a/packages/routing/test/fleet_state_test.cpp
+++ b/packages/routing/test/fleet_state_test.cpp
@@ -131,4 +131,94 @@
   CHECK(find("e-1")->ColdUntil == at(300));
 }
 
+// Guards against requests to targets that had left before the copy was
+// restored.
+TEST_CASE_METHOD(FleetStateFixture,
+                 "fleet_state_restored_store_does_not_undo_leaving") {
+  applyFullListing(at(0));
+  TargetEntry leaving = target("e-1", "engines");
+  leaving.Draining = true;
+  State.applyUpdate(TargetUpdated{leaving}, at(100));
+  State.applyUpdate(TargetRemoved{TargetId{"e-2"}}, at(200));
+  const std::vector<StoreUpdate> copy{
+      ConfigUpdated{config(4)}, TargetUpdated{target("e-1", "engines")},
+      TargetUpdated{target("e-2", "engines", "zone-b")}};
+  State.applyRestoredListing(copy, at(1'000));
+  CHECK(find("e-1")->Entry.Draining);
+  CHECK(find("e-2") == nullptr);
+  CHECK(State.view()->Config->Revision == ConfigRevision{5});
+  // The next listing shows the same entry.
+  State.applyListing(copy, at(1'500));
+  CHECK(find("e-2") == nullptr);
+  // The target writes again: it is alive.
+  TargetEntry alive = target("e-2", "engines", "zone-b");
+  State.applyUpdate(TargetUpdated{alive}, at(2'000));
+  CHECK(find("e-2") != nullptr);
+}
+
+TEST_CASE_METHOD(FleetStateFixture,
+                 "fleet_state_restored_entry_is_believed_after_grace_period") {
+  applyFullListing(at(0));
+  State.applyUpdate(TargetRemoved{TargetId{"e-2"}}, at(200));
+  State.applyRestoredListing(
+      {TargetUpdated{target("e-1", "engines")},
+       TargetUpdated{target("e-2", "engines", "zone-b")}},
+      at(1'000));
+  State.expire(at(5'900));
+  CHECK(find("e-2") == nullptr);
+  CHECK(State.expire(at(6'000)));
+  CHECK(find("e-2") != nullptr);
+}
+
+TEST_CASE_METHOD(FleetStateFixture,
+                 "fleet_state_restored_older_process_is_not_believed") {
+  applyFullListing(at(0));
+  TargetEntry later = target("e-1", "engines");
+  later.StartedAtMs = 9;
+  State.applyUpdate(TargetUpdated{later}, at(100));
+  State.applyRestoredListing({TargetUpdated{target("e-1", "engines")}},
+                             at(1'000));
+  CHECK(find("e-1")->Entry.StartedAtMs == 9);
+}
+
+TEST_CASE_METHOD(FleetStateFixture,
+                 "fleet_state_entries_that_a_copy_lacks_get_grace_period") {
+  applyFullListing(at(0));
+  State.applyRestoredListing({ConfigUpdated{config(4)}}, at(1'000));
+  CHECK(find("e-1") != nullptr);
+  CHECK(State.view()->Routers.size() == 1);
+  State.applyUpdate(TargetUpdated{target("e-1", "engines")}, at(2'000));
+  CHECK(State.expire(at(3'200)));
+  CHECK(find("e-1") != nullptr);
+  CHECK(find("e-2") == nullptr);
+  CHECK(State.view()->Routers.empty());
+}
+
+TEST_CASE_METHOD(FleetStateFixture,
+                 "fleet_state_evacuation_that_a_copy_lacks_holds") {
+  applyFullListing(at(0));
+  State.applyUpdate(ZoneEvacuated{ZoneId{"zone-b"}}, at(100));
+  const std::vector<StoreUpdate> copy{
+      TargetUpdated{target("e-1", "engines")},
+      TargetUpdated{target("e-2", "engines", "zone-b")}};
+  State.applyRestoredListing(copy, at(1'000));
+  State.applyListing(copy, at(1'500));
+  CHECK(find("e-2")->InEvacuatedZone);
+  State.expire(at(5'900));
+  CHECK(find("e-2")->InEvacuatedZone);
+  SECTION("an operator writes it again") {
+    State.applyUpdate(ZoneEvacuated{ZoneId{"zone-b"}}, at(5'950));
+    State.expire(at(9'000));
+    CHECK(find("e-2")->InEvacuatedZone);
+  }
+  SECTION("nobody writes it again") {
+    State.expire(at(6'000));
+    CHECK_FALSE(find("e-2")->InEvacuatedZone);
+  }
+  SECTION("an operator takes it back") {
+    State.applyUpdate(ZoneRestored{ZoneId{"zone-b"}}, at(5'950));
+    CHECK_FALSE(find("e-2")->InEvacuatedZone);
+  }
+}
+
 } // namespace nutmegsill::routing
--- a/packages/routing/test/store_link_test.cpp
+++ b/packages/routing/test/store_link_test.cpp
@@ -79,4 +79,45 @@
   CHECK(last == Link->policy().MaxBackoff);
 }
 
+// Guards against a store at a lower revision that counts as unchanged.
+TEST_CASE_METHOD(StoreLinkFixture,
+                 "store_link_lower_revision_of_later_era_is_newer") {
+  Link->recordListing({26, StoreEra{1}}, at(0));
+  CHECK_FALSE(Link->confirmRevision({20, StoreEra{2}}, at(1'000)));
+  CHECK(Link->currentAsOf() == at(0));
+  Link->recordHistoryGone();
+  Link->recordListing({20, StoreEra{2}}, at(1'100));
+  CHECK(Link->revision() == StoreRevision{20, StoreEra{2}});
+  CHECK(Link->confirmRevision({20, StoreEra{2}}, at(1'200)));
+  CHECK_FALSE(Link->confirmRevision({21, StoreEra{2}}, at(1'300)));
+}
+
+TEST_CASE_METHOD(StoreLinkFixture,
+                 "store_link_late_response_of_earlier_era_changes_nothing") {
+  Link->recordListing({20, StoreEra{2}}, at(0));
+  Link->recordWatch({27, StoreEra{1}});
+  CHECK(Link->revision() == StoreRevision{20, StoreEra{2}});
+  Link->recordListing({27, StoreEra{1}}, at(10));
+  CHECK(Link->revision() == StoreRevision{20, StoreEra{2}});
+}
+
+TEST_CASE_METHOD(StoreLinkFixture,
+                 "store_link_relayed_changes_of_another_era_are_refused") {
+  Link->recordListing({26, StoreEra{1}}, at(0));
+  CHECK_FALSE(Link->recordRelayed({20, StoreEra{2}}, {21, StoreEra{2}}));
+  CHECK_FALSE(Link->recordRelayed({26, StoreEra{1}}, {27, StoreEra{2}}));
+  CHECK(Link->recordRelayed({26, StoreEra{1}}, {27, StoreEra{1}}));
+}
+
+// Guards against a pause of up to 2 s before a restored store is listed.
+TEST_CASE_METHOD(StoreLinkFixture,
+                 "store_link_history_gone_after_failures_lists_at_once") {
+  Link->recordListing({26, StoreEra{1}}, at(0));
+  Link->recordFailure();
+  Link->nextCall();
+  Link->nextCall();
+  Link->recordHistoryGone();
+  CHECK(std::holds_alternative<ListCall>(Link->nextCall()));
+}
+
 } // namespace nutmegsill::routing
--- a/packages/simulation/src/fault_matrix.cpp
+++ b/packages/simulation/src/fault_matrix.cpp
@@ -103,6 +103,8 @@
       return Fleet.disruptStoreFor(host, StoreMode::Silent, 2 * FaultDuration);
     case Fault::HistoryDropped:
       return Fleet.store().dropHistory();
+    case Fault::StoreRestored:
+      return Fleet.restoreStore(milliseconds(2'000));
     case Fault::TargetCrash:
       return Fleet.crashTarget(engine, FaultDuration);
     case Fault::TargetHangs:
@@ -164,6 +166,8 @@
     return "store_silent_for_one";
   case Fault::HistoryDropped:
     return "history_dropped";
+  case Fault::StoreRestored:
+    return "store_restored";
   case Fault::TargetCrash:
     return "target_crash";
   case Fault::TargetHangs:
--- a/packages/simulation/src/fault_matrix.h
+++ b/packages/simulation/src/fault_matrix.h
@@ -20,6 +20,9 @@
   StoreLapsing,
   StoreSilentForOne,
   HistoryDropped,
+  /// The store comes back from a copy that is two seconds old; what operators
+  /// and targets wrote since is written again.
+  StoreRestored,
   TargetCrash,
   TargetHangs,
   TargetFails,
--- a/packages/simulation/src/virtual_fleet.cpp
+++ b/packages/simulation/src/virtual_fleet.cpp
@@ -197,6 +197,32 @@
   Store.setMode(std::nullopt, mode, duration, leasesExpire);
 }
 
+void VirtualFleet::restoreStore(Duration copyAge) {
+  Store.keepCopy();
+  Clock.scheduleAfter(copyAge, [this] {
+    for (const HostId &host : hosts()) {
+      recordDisruption(host, Duration{0});
+    }
+    Store.restoreCopy();
+    constexpr milliseconds rewriteDelay{500};
+    Clock.scheduleAfter(rewriteDelay, [this] {
+      Store.put("config", ConfigUpdated{Plan.Config}, UnrelatedItem{});
+      for (const auto &[id, target] : Targets) {
+        const ZoneId &zone = target->Process.entry().Zone;
+        if (EvacuatedZones.count(zone) == 0) {
+          Store.erase("zones/" + zone.Text);
+        } else if (!Store.has("zones/" + zone.Text)) {
+          Store.put("zones/" + zone.Text, ZoneEvacuated{zone},
+                    ZoneRestored{zone});
+        }
+        if (target->Process.alive()) {
+          writeTargetEntry(id);
+        }
+      }
+    });
+  });
+}
+
 void VirtualFleet::crashTarget(const TargetId &target, Duration duration) {
   Targets.at(target)->Process.crash();
   Clock.scheduleAfter(duration, [this, target] {
@@ -225,14 +251,17 @@
 
 void VirtualFleet::evacuateZone(const ZoneId &zone, Duration duration) {
   Store.put("zones/" + zone.Text, ZoneEvacuated{zone}, ZoneRestored{zone});
+  EvacuatedZones.insert(zone);
   const Time back = Clock.now() + duration;
   for (const auto &[id, target] : Targets) {
     if (target->Process.entry().Zone == zone) {
       History.OutOfServiceIntervals.push_back({id, Clock.now(), back});
     }
   }
-  Clock.scheduleAfter(duration,
-                      [this, zone] { Store.erase("zones/" + zone.Text); });
+  Clock.scheduleAfter(duration, [this, zone] {
+    EvacuatedZones.erase(zone);
+    Store.erase("zones/" + zone.Text);
+  });
 }
 
 void VirtualFleet::revokeKey(const std::string &key) {
--- a/packages/simulation/src/virtual_fleet.h
+++ b/packages/simulation/src/virtual_fleet.h
@@ -72,6 +72,9 @@
   void cutPeers(const HostId &host, Duration duration);
   void disruptStoreFor(const HostId &host, StoreMode mode, Duration duration);
   void disruptStore(StoreMode mode, Duration duration, bool leasesExpire);
+  /// Copies the store now and brings the copy back after `copyAge`; operators
+  /// and targets write again what it lacks.
+  void restoreStore(Duration copyAge);
   void crashTarget(const TargetId &target, Duration duration);
   void injectTargetFault(const TargetId &target, TargetFault fault,
                          Duration duration);
@@ -107,6 +110,7 @@
   std::map<HostId, std::unique_ptr<Router>> Routers;
   std::map<TargetId, std::unique_ptr<Target>> Targets;
   std::map<TeamId, std::pair<double, Time>> RateFactors;
+  std::set<ZoneId> EvacuatedZones;
   std::uint64_t LastUnsharedPart = 1'000'000;
   bool TrafficStopped = false;
 };
--- a/packages/simulation/src/virtual_router.cpp
+++ b/packages/simulation/src/virtual_router.cpp
@@ -116,8 +116,7 @@
                      if (const StoreUpdates *updates =
                              std::get_if<StoreUpdates>(&it)) {
                        reportTransition("listed");
-                       State->applyListing(updates->Updates, Fleet.Clock.now());
-                       Link->recordListing(updates->Revision, sentAt);
+                       applyListing(*updates, sentAt);
                      } else {
                        reportTransition("failed");
                        Link->recordFailure();
@@ -127,6 +126,17 @@
                    }));
 }
 
+void VirtualFleet::Router::applyListing(const StoreUpdates &listed,
+                                        Time sentAt) {
+  const Time now = Fleet.Clock.now();
+  if (State->isComplete() && listed.Revision.Era > Link->revision().Era) {
+    State->applyRestoredListing(listed.Updates, now);
+  } else if (listed.Revision >= Link->revision()) {
+    State->applyListing(listed.Updates, now);
+  }
+  Link->recordListing(listed.Revision, sentAt);
+}
+
 void VirtualFleet::Router::watchChanges(const WatchCall &call) {
   // The store's reply or the time-out ends the watch, whichever comes first.
   const std::shared_ptr<bool> ended = std::make_shared<bool>(false);
@@ -217,10 +227,7 @@
                       Link->recordFailure();
                       return;
                     }
-                    if (listed->Revision >= Link->revision()) {
-                      State->applyListing(listed->Updates, Fleet.Clock.now());
-                    }
-                    Link->recordListing(listed->Revision, listedAt);
+                    applyListing(*listed, listedAt);
                     publishView();
                   }));
               scheduleNextCheck();
--- a/packages/simulation/src/virtual_router.h
+++ b/packages/simulation/src/virtual_router.h
@@ -48,6 +48,7 @@
   void reportTransition(const char *event);
   void runWatchLoop();
   void listItems();
+  void applyListing(const StoreUpdates &listed, Time sentAt);
   void watchChanges(const routing::WatchCall &call);
   void runCheckLoop();
   void checkForMissedChanges();
--- a/packages/simulation/src/virtual_store.cpp
+++ b/packages/simulation/src/virtual_store.cpp
@@ -81,14 +81,14 @@
 }
 
 std::optional<StoreUpdates>
-VirtualStore::changesAfter(std::uint64_t after) const {
-  if (after < OldestRevision) {
+VirtualStore::changesAfter(StoreRevision after) const {
+  if (after.Era != Era || after.Value < OldestRevision) {
     return std::nullopt;
   }
   StoreUpdates result;
-  result.Revision = StoreRevision{Revision};
+  result.Revision = currentRevision();
   for (const auto &[revision, update] : History) {
-    if (revision > after) {
+    if (revision > after.Value) {
       result.Updates.push_back(update);
     }
   }
@@ -101,6 +101,23 @@
   PendingWatches.clear();
 }
 
+void VirtualStore::keepCopy() {
+  CopiedItems = Items;
+  CopiedRevision = Revision;
+}
+
+void VirtualStore::restoreCopy() {
+  Items = CopiedItems;
+  Revision = CopiedRevision;
+  Era.Value += 1;
+  OldestRevision = Revision;
+  History.clear();
+  for (auto &[key, item] : Items) {
+    item.WriteSequence = ++LastWriteSequence;
+    scheduleLeaseExpiry(key);
+  }
+}
+
 void VirtualStore::setMode(std::optional<HostId> host, StoreMode mode,
                            Duration duration, bool leasesExpire) {
   const std::pair<StoreMode, Time> modeUntil{mode, Clock.now() + duration};
@@ -161,7 +178,7 @@
 void VirtualStore::list(const HostId &host, ReplyHandler reply) {
   serve(host, reply, [this, reply] {
     StoreUpdates result;
-    result.Revision = StoreRevision{Revision};
+    result.Revision = currentRevision();
     for (const auto &[key, item] : Items) {
       result.Updates.push_back(item.CurrentUpdate);
     }
@@ -171,14 +188,14 @@
 
 void VirtualStore::readRevision(const HostId &host, ReplyHandler reply) {
   serve(host, reply, [this, reply] {
-    reply(StoreUpdates{{}, StoreRevision{Revision}});
+    reply(StoreUpdates{{}, currentRevision()});
   });
 }
 
 void VirtualStore::watch(const HostId &host, StoreRevision after, Duration wait,
                          ReplyHandler reply) {
   serve(host, reply, [this, host, after, wait, reply] {
-    const std::optional<StoreUpdates> changes = changesAfter(after.Value);
+    const std::optional<StoreUpdates> changes = changesAfter(after);
     if (!changes) {
       reply(StoreFailure::HistoryGone);
       return;
@@ -194,10 +211,10 @@
         reply(std::move(it));
       }
     };
-    PendingWatches.push_back({host, after.Value, replyOnce});
+    PendingWatches.push_back({host, after, replyOnce});
     Clock.scheduleAfter(wait, [this, host, after, replyOnce] {
       const bool isServing = modeFor(host) == StoreMode::Serving;
-      const std::optional<StoreUpdates> latest = changesAfter(after.Value);
+      const std::optional<StoreUpdates> latest = changesAfter(after);
       replyOnce(!isServing ? StoreReply(StoreFailure::Unavailable)
                 : latest   ? StoreReply(*latest)
                            : StoreReply(StoreFailure::HistoryGone));
@@ -210,7 +227,7 @@
                          ReplyHandler reply) {
   serve(host, reply, [this, key, update, removal, ttl, reply] {
     put(key, update, removal, ttl);
-    reply(StoreUpdates{{}, StoreRevision{Revision}});
+    reply(StoreUpdates{{}, currentRevision()});
   });
 }
 
@@ -224,7 +241,7 @@
     }
     it->second.WriteSequence = ++LastWriteSequence;
     scheduleLeaseExpiry(key);
-    reply(StoreUpdates{{}, StoreRevision{Revision}});
+    reply(StoreUpdates{{}, currentRevision()});
   });
 }
 
--- a/packages/simulation/src/virtual_store.h
+++ b/packages/simulation/src/virtual_store.h
@@ -49,6 +49,10 @@
   /// `HistoryGone`. Pending watches get their reply only at the end of their
   /// wait.
   void dropHistory();
+  /// Keeps a copy of all items for `restoreCopy`.
+  void keepCopy();
+  /// Replaces all items and the revision by the copy, as another history.
+  void restoreCopy();
   /// Sets how the store treats `host`, or all hosts if none is given, for
   /// `duration`. While the store is unavailable to all hosts, leases expire
   /// only if `leasesExpire` is set; otherwise a lease that falls due is
@@ -88,7 +92,7 @@
   };
   struct PendingWatch {
     HostId Host;
-    std::uint64_t AfterRevision = 0;
+    routing::StoreRevision AfterRevision;
     ReplyHandler Reply;
   };
   StoreMode modeFor(const HostId &host) const;
@@ -99,13 +103,17 @@
   void scheduleLeaseExpiry(const std::string &key);
   void expireLease(const std::string &key, std::uint64_t writeSequence);
   void recordChange(const routing::StoreUpdate &update);
-  std::optional<StoreUpdates> changesAfter(std::uint64_t after) const;
+  std::optional<StoreUpdates> changesAfter(routing::StoreRevision after) const;
+  routing::StoreRevision currentRevision() const { return {Revision, Era}; }
   bool isUnavailable() const;
 
   VirtualClock &Clock;
   std::map<std::string, Item> Items;
   std::vector<std::pair<std::uint64_t, routing::StoreUpdate>> History;
   std::uint64_t Revision = 10;
+  routing::StoreEra Era{1};
+  std::map<std::string, Item> CopiedItems;
+  std::uint64_t CopiedRevision = 0;
   std::uint64_t OldestRevision = 0;
   std::uint64_t LastWriteSequence = 0;
   std::list<PendingWatch> PendingWatches;
