Accept only named responses on kept connections

Callers were told that a request had not run although a target was running it, or it ran at a second target: a target that wrote an earlier refusal once more on a kept connection, without a request id, had it taken for its response. A response without an id was believed wherever it came.

On a connection that has served an earlier request, only a response that names the present one is believed; the connection of a response without an id is not kept, and a request without an id gets a connection of its own. Refusals with the old id, whole or in two pieces, were and are skipped.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -82,8 +82,12 @@
 }
 
 asio::awaitable<bool> Exchange::connect() {
-  Connection = Connections.take(Request.TargetEndpoint, bootTimeNow());
+  // Without an id, the response could not be told from one to another request.
+  if (!Request.RequestId.empty()) {
+    Connection = Connections.take(Request.TargetEndpoint, bootTimeNow());
+  }
   if (Connection) {
+    IsReused = true;
     co_return true;
   }
   boost::system::error_code ec;
@@ -133,8 +137,13 @@
     if (reader.Status < FirstFinalStatus) {
       continue;
     }
-    if (reader.Head.RequestId.empty() ||
-        reader.Head.RequestId == Request.RequestId) {
+    const bool isUnnamed = reader.Head.RequestId.empty();
+    if (isUnnamed && IsReused) {
+      fail(ExchangeResult::Broken,
+           "response without a request id on a kept connection");
+      co_return false;
+    }
+    if (isUnnamed || reader.Head.RequestId == Request.RequestId) {
       co_return true;
     }
     // Skips a duplicate response to an earlier request on this connection.
@@ -299,9 +308,10 @@
 }
 
 void Exchange::releaseConnection(ResponseReader &reader) {
-  const bool reusable = reader.Parser && reader.Parser->is_done() &&
-                        reader.Parser->get().keep_alive() &&
-                        !reader.Parser->need_eof() && reader.Buffer.size() == 0;
+  const bool reusable =
+      reader.Parser && reader.Parser->is_done() &&
+      reader.Parser->get().keep_alive() && !reader.Parser->need_eof() &&
+      reader.Buffer.size() == 0 && !reader.Head.RequestId.empty();
   if (!reusable || Aborted) {
     return;
   }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -84,6 +84,8 @@
   routing::EventStreamBuffer *Events;
   routing::EventBoundary Boundary;
   std::optional<TargetConnectionPool::Socket> Connection;
+  /// The connection has served an earlier request.
+  bool IsReused = false;
   bool Aborted = false;
   ExchangeOutcome Outcome;
 };
--- a/packages/standins/src/http_server.cpp
+++ b/packages/standins/src/http_server.cpp
@@ -92,6 +92,7 @@
   socket.set_option(tcp::no_delay(true), ec);
   beast::tcp_stream stream(std::move(socket));
   beast::flat_buffer buffer;
+  std::string note;
   bool keepAlive = true;
   while (keepAlive) {
     ServerRequest request;
@@ -100,7 +101,7 @@
     if (ec) {
       co_return;
     }
-    ServerExchange exchange(stream, std::move(request));
+    ServerExchange exchange(stream, std::move(request), note);
     co_await (*handler)(exchange);
     keepAlive = !exchange.isClosed() && exchange.Request.keep_alive();
   }
--- a/packages/standins/src/http_server.h
+++ b/packages/standins/src/http_server.h
@@ -20,10 +20,13 @@
 /// `respond` or `respondJson`, or sends the bytes of the response itself.
 class ServerExchange {
 public:
-  ServerExchange(boost::beast::tcp_stream &stream, ServerRequest request)
-      : Request(std::move(request)), Stream(stream) {}
+  ServerExchange(boost::beast::tcp_stream &stream, ServerRequest request,
+                 std::string &note)
+      : Request(std::move(request)), ConnectionNote(note), Stream(stream) {}
 
   const ServerRequest Request;
+  /// Kept for the handler while the connection lasts; empty at first.
+  std::string &ConnectionNote;
 
   /// Sets a field of the responses by `respond` and `respondJson`.
   void setResponseField(const std::string &name, const std::string &value) {
--- a/packages/standins/src/target_standin.cpp
+++ b/packages/standins/src/target_standin.cpp
@@ -14,6 +14,11 @@
 /// Time in which a router reads what was sent, before the connection ends.
 constexpr std::chrono::milliseconds ReadDelay{50};
 
+bool repeatsRefusals(TargetMode mode) {
+  return mode >= TargetMode::RepeatingRefusals &&
+         mode <= TargetMode::RepeatingRefusalsInPieces;
+}
+
 bool isUnframed(TargetMode mode) {
   return mode >= TargetMode::UnframedStreams &&
          mode <= TargetMode::UnframedStreamsReset;
@@ -56,6 +61,11 @@
   return ResponseFields;
 }
 
+void TargetStandin::setHeadBytes(std::size_t bytes) {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  HeadBytes = bytes;
+}
+
 void TargetStandin::setEventPause(std::chrono::milliseconds pause) {
   const std::lock_guard<std::mutex> lock(Mutex);
   EventPause = pause;
@@ -122,16 +132,24 @@
     co_return;
   }
   TargetMode mode = TargetMode::Serving;
+  bool refuses = false;
   {
     const std::lock_guard<std::mutex> lock(Mutex);
     mode = Mode;
     Received.push_back(received);
-    RunCounts[received.RequestId] += mode == TargetMode::Rejecting ? 0 : 1;
+    refuses = mode == TargetMode::Rejecting ||
+              (repeatsRefusals(mode) && exchange.ConnectionNote.empty());
+    RunCounts[received.RequestId] += refuses ? 0 : 1;
   }
-  if (mode == TargetMode::Rejecting) {
-    co_await exchange.sendBytes(
-        "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" +
-        responseFields() + "Content-Length: 0\r\n\r\n");
+  if (refuses) {
+    co_await refuse(exchange, received, mode);
+    co_return;
+  }
+  if (repeatsRefusals(mode)) {
+    co_await repeatRefusal(exchange, mode);
+  }
+  if (mode == TargetMode::CuttingHeads) {
+    co_await sendCutHead(exchange, received);
   } else if (mode == TargetMode::DroppingResponses) {
     exchange.resetConnection();
   } else if (mode == TargetMode::Hanging) {
@@ -145,6 +163,48 @@
   }
 }
 
+asio::awaitable<void> TargetStandin::refuse(ServerExchange &exchange,
+                                            const ReceivedRequest &received,
+                                            TargetMode mode) {
+  const std::string id =
+      repeatsRefusals(mode) && mode != TargetMode::RepeatingAnonymousRefusals
+          ? "Request-Id: " + received.RequestId + "\r\n"
+          : "";
+  std::string text = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + id +
+                     responseFields() + "Keep-Alive: timeout=10\r\n" +
+                     "Content-Length: 0\r\n\r\n";
+  exchange.ConnectionNote = text;
+  co_await exchange.sendBytes(std::move(text));
+}
+
+asio::awaitable<void> TargetStandin::repeatRefusal(ServerExchange &exchange,
+                                                   TargetMode mode) {
+  const std::string text = exchange.ConnectionNote;
+  const std::size_t first = mode == TargetMode::RepeatingRefusalsInPieces
+                                ? text.size() / 2
+                                : text.size();
+  co_await exchange.sendBytes(text.substr(0, first));
+  co_await exchange.sleep(std::chrono::milliseconds(20));
+  if (first < text.size()) {
+    co_await exchange.sendBytes(text.substr(first));
+  }
+}
+
+asio::awaitable<void>
+TargetStandin::sendCutHead(ServerExchange &exchange,
+                           const ReceivedRequest &received) {
+  std::size_t bytes = 0;
+  {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    bytes = HeadBytes;
+  }
+  const std::string head =
+      responseHead(received, 200, TargetMode::CuttingHeads) +
+      "Content-Length: 5\r\nContent-Type: text/event-stream\r\n\r\n";
+  co_await exchange.sendBytes(head.substr(0, bytes));
+  exchange.closeConnection();
+}
+
 asio::awaitable<void> TargetStandin::sendPlain(ServerExchange &exchange,
                                                const ReceivedRequest &received,
                                                TargetMode mode) {
@@ -168,6 +228,20 @@
     const std::lock_guard<std::mutex> lock(Mutex);
     pause = EventPause;
   }
+  const bool failsResumed = mode == TargetMode::FailingResumedStreams;
+  const bool spoilsResumed =
+      failsResumed || mode == TargetMode::AnsweringResumedStreamsWithText;
+  if (spoilsResumed && !received.LastEventId.empty()) {
+    const std::string body = "an error text";
+    const std::string text =
+        responseHead(received, failsResumed ? 500 : 200, mode) +
+        "Content-Type: text/plain\r\nContent-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + body;
+    co_await exchange.sendBytes(text.substr(0, text.size() / 3));
+    co_await exchange.sleep(std::chrono::milliseconds(20));
+    co_await exchange.sendBytes(text.substr(text.size() / 3));
+    co_return;
+  }
   if (isUnframed(mode)) {
     co_await sendUnframedStream(exchange, received, mode);
     co_return;
@@ -181,7 +255,9 @@
   for (int i = firstEvent; i <= EventsPerStream; ++i) {
     const std::string event =
         streamBody(i).substr(0, streamBody(i).find("\n\n") + 2);
-    if (mode == TargetMode::TruncatingStreams && i == 3) {
+    const bool breaksOff =
+        mode == TargetMode::TruncatingStreams || spoilsResumed;
+    if (breaksOff && i == 3) {
       co_await exchange.writeChunk(event.substr(0, event.size() / 2));
       exchange.resetConnection();
       co_return;
--- a/packages/standins/src/target_standin.h
+++ b/packages/standins/src/target_standin.h
@@ -40,6 +40,23 @@
   DuplicatingResponses,
   /// Responds with status 200 but without the "Signature" field.
   OmittingSignatures,
+  /// Closes the connection after the bytes set by `setHeadBytes` of a
+  /// response's head.
+  CuttingHeads,
+  // The modes below break streams as `TruncatingStreams`; the response to a
+  // resumed one is signed and comes in two pieces.
+  /// An error with status 500.
+  FailingResumedStreams,
+  /// A text with status 200 and a length.
+  AnsweringResumedStreamsWithText,
+  // The modes below refuse the first request on each connection, as
+  // `Rejecting`, and run each later one; before its response they send the
+  // refusal once more.
+  RepeatingRefusals,
+  /// Neither refusal names its request.
+  RepeatingAnonymousRefusals,
+  /// The repeated refusal comes in two pieces.
+  RepeatingRefusalsInPieces,
   /// Runs the request and sends no response; does not read the connection
   /// for 20 s.
   Hanging,
@@ -80,6 +97,8 @@
   /// Sets header lines of all responses, each with its line end; 421 does not
   /// get them.
   void setResponseFields(std::string lines);
+  /// Sets how much of a head `TargetMode::CuttingHeads` sends.
+  void setHeadBytes(std::size_t bytes);
   /// Sets the pause between two events of a stream.
   void setEventPause(std::chrono::milliseconds pause);
   /// Requests in the order received, without those answered with status 421
@@ -111,6 +130,13 @@
   boost::asio::awaitable<void>
   sendUnframedStream(ServerExchange &exchange, const ReceivedRequest &received,
                      TargetMode mode);
+  boost::asio::awaitable<void> refuse(ServerExchange &exchange,
+                                      const ReceivedRequest &received,
+                                      TargetMode mode);
+  boost::asio::awaitable<void> repeatRefusal(ServerExchange &exchange,
+                                             TargetMode mode);
+  boost::asio::awaitable<void> sendCutHead(ServerExchange &exchange,
+                                           const ReceivedRequest &received);
   boost::asio::awaitable<void> sendPlain(ServerExchange &exchange,
                                          const ReceivedRequest &received,
                                          TargetMode mode);
@@ -128,6 +154,7 @@
   TargetMode Mode = TargetMode::Serving;
   std::chrono::milliseconds EventPause{2};
   std::string ResponseFields;
+  std::size_t HeadBytes = 0;
   std::vector<ReceivedRequest> Received;
   std::map<std::string, int> RunCounts;
   std::atomic<std::uint64_t> EndlessBytesSent{0};
