Resume streams by event streams only

A stream had begun and broke off, and the next target answered with a signed text and status 200: callers found the text in their stream, which ended as if it were complete. Whatever was signed and successful went on with the stream.

The response to a resumed stream must be an event stream; otherwise the caller's stream ends incomplete. The test failed before. Errors (500 in two pieces, refusals, responses without a signature, cut heads, lost responses) ended it incomplete before, too; tests show that now.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -342,10 +342,14 @@
     co_return;
   }
   Request.OnResponseHead(reader.Head);
-  const bool isStream = Request.IsStream &&
-                        reader.Status < FirstRedirectStatus &&
-                        reader.Head.Signed && !reader.Head.NotRun;
-  if (isStream) {
+  const bool isSuccess = reader.Status < FirstRedirectStatus &&
+                         reader.Head.Signed && !reader.Head.NotRun;
+  const bool isResumed = Writer.hasStarted();
+  if (isSuccess && isResumed && !reader.Head.IsEventStream) {
+    fail(ExchangeResult::Broken, "resumed stream is not an event stream");
+    co_return;
+  }
+  if (Request.IsStream && isSuccess) {
     co_await forwardStream(reader);
   } else {
     std::string body;
--- a/packages/gateway/test/gateway_answers_test.cpp
+++ b/packages/gateway/test/gateway_answers_test.cpp
@@ -36,4 +36,48 @@
   }
 }
 
+// Guards against a stream that goes on with the next target's error.
+TEST_CASE_METHOD(GatewayAnswersFixture,
+                 "gateway_broken_stream_gets_nothing_of_next_error") {
+  const TargetMode mode = GENERATE(TargetMode::FailingResumedStreams,
+                                   TargetMode::AnsweringResumedStreamsWithText);
+  startRouter();
+  setTargetModes(mode);
+  for (int i = 0; i < 6; ++i) {
+    const RawResponse response = sendRequest("/stream/resumed/a", nextId());
+    CAPTURE(static_cast<int>(mode), response.Body);
+    CHECK(response.Status == 200);
+    CHECK_FALSE(response.Complete);
+    CHECK(TargetStandin::streamBody(1).starts_with(response.Body));
+  }
+}
+
+TEST_CASE_METHOD(
+    GatewayAnswersFixture,
+    "gateway_broken_stream_whose_next_target_fails_is_incomplete") {
+  const TargetMode mode =
+      GENERATE(TargetMode::OmittingSignatures, TargetMode::Rejecting,
+               TargetMode::DroppingResponses, TargetMode::CuttingHeads);
+  startRouter();
+  SecondTarget->setHeadBytes(40);
+  int begun = 0;
+  for (int i = 0; i < 12; ++i) {
+    // The targets change places, since a failing one is avoided.
+    TargetStandin &first = i % 2 == 0 ? *FirstTarget : *SecondTarget;
+    TargetStandin &second = i % 2 == 0 ? *SecondTarget : *FirstTarget;
+    first.setMode(TargetMode::TruncatingStreams);
+    second.setMode(mode);
+    const RawResponse response = sendRequest("/stream/resumed/a", nextId());
+    CAPTURE(static_cast<int>(mode), response.Status, response.Body);
+    // Some requests come to the second target first.
+    if (response.Status == 200 && response.Body.starts_with("id: 1\n")) {
+      ++begun;
+      CHECK_FALSE(response.Complete);
+      CHECK(TargetStandin::streamBody(1).starts_with(response.Body));
+    }
+  }
+  CAPTURE(static_cast<int>(mode));
+  CHECK(begun > 0);
+}
+
 } // namespace nutmegsill::standin
