--- a/packages/gateway/test/gateway_answers_test.cpp
+++ b/packages/gateway/test/gateway_answers_test.cpp
@@ -80,4 +80,36 @@
   CHECK(begun > 0);
 }
 
+TEST_CASE_METHOD(GatewayAnswersFixture,
+                 "gateway_head_cut_at_any_byte_is_no_response") {
+  startRouter();
+  setTargetModes(TargetMode::CuttingHeads);
+  for (std::size_t bytes = 0; bytes < 160; ++bytes) {
+    FirstTarget->setHeadBytes(bytes);
+    SecondTarget->setHeadBytes(bytes);
+    for (const char *path : {"/buy/a", "/stream/whole/a"}) {
+      const RawResponse response = sendRequest(path, nextId());
+      CAPTURE(bytes, path, response.Status, response.Body);
+      CHECK((response.Status != 200 || !response.Complete));
+    }
+  }
+}
+
+TEST_CASE_METHOD(GatewayAnswersFixture,
+                 "gateway_head_cut_on_kept_connection_is_no_response") {
+  startRouter();
+  for (std::size_t bytes = 0; bytes < 150; bytes += 5) {
+    setTargetModes(TargetMode::Serving);
+    for (int i = 0; i < 2; ++i) {
+      CHECK(sendRequest("/buy/a", nextId()).Status == 200);
+    }
+    FirstTarget->setHeadBytes(bytes);
+    SecondTarget->setHeadBytes(bytes);
+    setTargetModes(TargetMode::CuttingHeads);
+    const RawResponse response = sendRequest("/buy/a", nextId());
+    CAPTURE(bytes, response.Status);
+    CHECK((response.Status != 200 || !response.Complete));
+  }
+}
+
 } // namespace nutmegsill::standin
