Weigh offers to limited targets by the team's fair share

A team that asks most often got most of what limited engines take, as their requests were taken in the order of arrival, and a limited engine has no backlog that would hold a team over its share back: in virtual time a small team got 28 requests of 50 that its max-min share allowed at least.

Offers weigh less by the fourth power of the share used beyond 0.8; a target takes a request with the probability of its weight, so that the sum still meets the limit.

--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -149,6 +149,10 @@
   double MinWaitFraction = 0.25;
   double WaitRampStart = 0.8;
   double WaitRampEnd = 2.8;
+  /// A team's requests weigh 1 at limited targets while it uses at most
+  /// `WaitRampStart` of its fair share, and less by this power of its usage
+  /// beyond that.
+  double LimitShareExponent = 4;
   /// Queueing time allowed to a prompt whose own prefill takes most of the time
   /// that its team may wait, as a fraction of that time.
   double LargePromptWaitFraction = 0.25;
@@ -312,6 +316,8 @@
   /// Fraction of the objective that the expected time may reach for a team with
   /// this fair-share usage.
   double waitFraction(double usage) const;
+  /// Weight of the requests of such a team at limited targets.
+  double limitWeight(double usage) const;
   std::vector<EngineCandidate> engineCandidates(const DispatchRequest &request,
                                                 const EngineLimits &limits,
                                                 const TargetId *preferred,
--- a/packages/routing/include/nutmegsill/routing/target_statements.h
+++ b/packages/routing/include/nutmegsill/routing/target_statements.h
@@ -37,7 +37,7 @@
   std::optional<double> Rate;
   /// Time since the response that stated it.
   Duration Age{0};
-  /// Requests per second that were offered to the target.
+  /// Weights of the requests per second that were offered to the target.
   double Demand = 0;
   /// Requests sent in the last `StatementPolicy::Window`.
   std::uint32_t Sent = 0;
@@ -81,8 +81,10 @@
   /// Replaces the previous report of `peer`.
   void receive(const HostId &peer, std::vector<LimitReport> report, Time now);
 
-  /// Offers a request to a target. If true, the request counts as sent.
-  bool offer(const TargetProcess &process, Time now);
+  /// Offers a request to a target. If true, the request counts as sent. Of
+  /// requests with a lower `weight`, at most 1, a limited target takes a
+  /// smaller fraction.
+  bool offer(const TargetProcess &process, Time now, double weight = 1);
   /// Requests per second that this router may send; nothing without a limit.
   std::optional<double> ownRate(const TargetProcess &process, Time now);
   /// The stated limit, in requests per second; nothing without one.
@@ -108,7 +110,7 @@
     /// Sum of the parts of a request that the offers since the last request
     /// amount to.
     double Credit = 0;
-    /// Requests offered by this router.
+    /// Weights of the requests offered by this router.
     Meter Demand{4};
     /// Times of this router's requests in the last `Window` under the limit.
     std::deque<Time> SentAt;
@@ -121,7 +123,8 @@
   };
   void setRate(const TargetProcess &process, std::optional<double> rate,
                Time heardAt, const char *source, Time now);
-  /// Fraction of the offered requests that the limit allows.
+  /// Fraction of the offered weight that the limit allows; more than 1 if it
+  /// allows all.
   double allowedFraction(Target &target, Time now) const;
   /// Requests of this router in the last `StatementPolicy::Window`.
   std::uint32_t countSent(Target &target, Time now) const;
--- a/packages/routing/src/engine_choice.cpp
+++ b/packages/routing/src/engine_choice.cpp
@@ -4,6 +4,7 @@
 #include "nutmegsill/routing/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace nutmegsill::routing {
 
@@ -49,6 +50,12 @@
          over * (Policy.MaxWaitFraction - Policy.MinWaitFraction);
 }
 
+double Dispatcher::limitWeight(double usage) const {
+  return usage <= Policy.WaitRampStart ? 1.0
+                                       : std::pow(Policy.WaitRampStart / usage,
+                                                  Policy.LimitShareExponent);
+}
+
 const TargetId *Dispatcher::preferredTarget(const PromptDescription &prompt,
                                             const PoolId &pool) const {
   if (prompt.Parts.size() < 2) {
@@ -250,7 +257,7 @@
                            : RejectionReason::TeamOverShare,
                        retryAfter, it.ExpectedFirstEvent, usage};
     }
-    if (Statements.offer(processOf(*it.Target), now)) {
+    if (Statements.offer(processOf(*it.Target), now, limitWeight(usage))) {
       return assignEngine(it, request, usage, now);
     }
   }
--- a/packages/routing/src/target_statements.cpp
+++ b/packages/routing/src/target_statements.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Requests that a router may send at once.
-constexpr double MaxCredit = 1;
+constexpr double MaxCredit = 2;
 /// Demand below which a limit is not reported, in requests per second.
 constexpr double MinReportedDemand = 0.05;
 
@@ -136,8 +136,7 @@
   const double assumed =
       peersKnown ? 0 : own * static_cast<double>(Routers - 1);
   const double all = own + std::max(assumed, target.PeerDemand);
-  return std::min(1.0,
-                  std::max(Policy.MinRate, *target.Rate) / std::max(all, 1e-6));
+  return std::max(Policy.MinRate, *target.Rate) / std::max(all, 1e-6);
 }
 
 std::uint32_t TargetStatements::countSent(Target &target, Time now) const {
@@ -158,14 +157,15 @@
          ownRecent <= *target.Rate * toSeconds(Policy.BurstWindow);
 }
 
-bool TargetStatements::offer(const TargetProcess &process, Time now) {
+bool TargetStatements::offer(const TargetProcess &process, Time now,
+                             double weight) {
   Target &target = Targets[process];
-  target.Demand.add(1, now);
+  target.Demand.add(weight, now);
   if (!target.Rate) {
     return true;
   }
-  target.Credit =
-      std::min(MaxCredit, target.Credit + allowedFraction(target, now));
+  const double allowed = std::min(1.0, weight * allowedFraction(target, now));
+  target.Credit = std::min(MaxCredit, target.Credit + allowed);
   if (target.Credit < 1 || !hasRoom(target, now)) {
     return false;
   }
@@ -180,7 +180,8 @@
   if (it == Targets.end() || !it->second.Rate) {
     return std::nullopt;
   }
-  return it->second.Demand.rate(now) * allowedFraction(it->second, now);
+  const double fraction = std::min(1.0, allowedFraction(it->second, now));
+  return it->second.Demand.rate(now) * fraction;
 }
 
 std::optional<double>
--- a/packages/routing/test/dispatcher_test.cpp
+++ b/packages/routing/test/dispatcher_test.cpp
@@ -355,4 +355,36 @@
   CHECK(rejected >= 85);
 }
 
+// Guards against a team that gets most of the limited requests as it asks most
+// often.
+TEST_CASE_METHOD(DispatcherFixture,
+                 "dispatcher_limited_engines_are_shared_by_teams") {
+  TargetStatement statement;
+  statement.RequestRate = 5;
+  std::map<std::string, int> sent;
+  const auto ask = [&](const std::string &team, int ms) {
+    const std::uint64_t part = 1 + static_cast<std::uint64_t>(ms);
+    std::optional<Assignment> it =
+        send(captionRequest(part, 100, 3'800, team), at(ms));
+    if (it) {
+      sent[team] += ms >= 5'000 ? 1 : 0;
+      TestedDispatcher.recordStatement(*it, statement, at(ms));
+      TestedDispatcher.recordProgress(*it, at(ms));
+      TestedDispatcher.recordResult(*it, ExchangeResult::Completed, at(ms));
+    }
+  };
+  // The large team asks for five times as much as the small one, which asks for
+  // slightly more than half of what both engines take.
+  for (int ms = 0; ms < 25'000; ms += 33) {
+    ask("large", ms);
+    if (ms % 165 == 0) {
+      ask("small", ms + 10);
+    }
+  }
+  // At least half of its max-min fair share of 5 a second.
+  CHECK(sent["small"] >= 50);
+  CHECK(sent["small"] + sent["large"] >= 160);
+  CHECK(sent["small"] + sent["large"] <= 220);
+}
+
 } // namespace nutmegsill::routing
