--- a/packages/routing/include/nutmegsill/routing/store_link.h
+++ b/packages/routing/include/nutmegsill/routing/store_link.h
@@ -22,8 +22,10 @@
 
   bool operator==(const StoreRevision &) const = default;
   std::strong_ordering operator<=>(const StoreRevision &other) const {
-    const std::strong_ordering eras = Era <=> other.Era;
-    return eras == 0 ? Value <=> other.Value : eras;
+    if (Era != other.Era) {
+      return Era <=> other.Era;
+    }
+    return Value <=> other.Value;
   }
 };
 
