Send nothing to targets that state that they leave or pause

No router read either statement: a target that was leaving got requests until its entry in the store told, from a router cut off from the store for as long as it served, and one that had refused with a pause got the next request at once.

A process that leaves is closed for good, also by late responses that are skipped and by what peers report; a new process at the same address starts clean. A pause holds for the router that it was told, at most 30 s; at its end one request goes first. A target that pauses does not count as failing. If nothing is left but pauses, requests are rejected until the least one ends.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -146,6 +146,7 @@
     if (isUnnamed || reader.Head.RequestId == Request.RequestId) {
       co_return true;
     }
+    Request.OnResponseHead(reader.Head, true);
     // Skips a duplicate response to an earlier request on this connection.
     std::string ignored;
     const bool complete =
@@ -341,7 +342,7 @@
   if (!headReceived) {
     co_return;
   }
-  Request.OnResponseHead(reader.Head);
+  Request.OnResponseHead(reader.Head, false);
   const bool isSuccess = reader.Status < FirstRedirectStatus &&
                          reader.Head.Signed && !reader.Head.NotRun;
   const bool isResumed = Writer.hasStarted();
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -32,8 +32,10 @@
   std::size_t MaxIdleConnections = 1;
   /// Called when connected, before the first byte is sent.
   std::function<void()> OnConnected;
-  /// Called with the header of the final response.
-  std::function<void(const platform::ResponseHead &)> OnResponseHead;
+  /// Called with the header of the final response, and with those of late
+  /// responses to earlier requests.
+  std::function<void(const platform::ResponseHead &, bool isLate)>
+      OnResponseHead;
   /// Called whenever the end of an event, or of the stream, has arrived.
   std::function<void()> OnProgress;
 };
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -61,8 +61,8 @@
     out.add_overloaded(it.Text);
   }
   encode(report.Quarantine, out);
-  for (const routing::LimitReport &it : report.Limits) {
-    wire::LimitReport *entry = out.add_limits();
+  for (const routing::StatementReport &it : report.Statements) {
+    wire::StatementReport *entry = out.add_statements();
     entry->set_target(it.Process.Target.Text);
     entry->set_started_at_ms(it.Process.StartedAtMs);
     if (it.Rate) {
@@ -71,6 +71,7 @@
     entry->set_age_ms(ageToWire(it.Age));
     entry->set_demand(static_cast<float>(it.Demand));
     entry->set_sent(it.Sent);
+    entry->set_leaving(it.Leaving);
   }
 }
 
@@ -153,16 +154,17 @@
     report.OverloadedHosts.push_back(HostId{it});
   }
   report.Quarantine = decodeQuarantine(in);
-  for (const wire::LimitReport &it : in.limits()) {
+  for (const wire::StatementReport &it : in.statements()) {
     if (!isRate(it.rate()) || !isRate(it.demand())) {
       return std::nullopt;
     }
-    report.Limits.push_back(
+    report.Statements.push_back(
         {{TargetId{it.target()}, it.started_at_ms()},
          it.has_rate() ? std::optional(it.rate()) : std::nullopt,
          milliseconds(it.age_ms()),
          it.demand(),
-         it.sent()});
+         it.sent(),
+         it.leaving()});
   }
   return report;
 }
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -424,10 +424,19 @@
     }
   };
   exchangeRequest.OnResponseHead =
-      [this, &assignment](const platform::ResponseHead &head) {
+      [this, &assignment](const platform::ResponseHead &head, bool isLate) {
         // A misdirected request is answered by another target.
-        if (!head.Misdirected) {
-          Context.Dispatcher.recordStatement(assignment, head.Statement,
+        if (head.Misdirected) {
+          return;
+        }
+        routing::TargetStatement statement = head.Statement;
+        if (isLate) {
+          // Only that the target leaves cannot have become untrue since.
+          statement = {};
+          statement.Leaving = head.Statement.Leaving;
+        }
+        if (!isLate || statement.Leaving) {
+          Context.Dispatcher.recordStatement(assignment, statement,
                                              bootTimeNow());
         }
       };
--- a/packages/gateway/test/gateway_limits_test.cpp
+++ b/packages/gateway/test/gateway_limits_test.cpp
@@ -100,4 +100,59 @@
   }
 }
 
+// Guards against requests to a target that has stated that it leaves.
+TEST_CASE_METHOD(GatewayLimitsFixture,
+                 "gateway_target_that_states_leaving_gets_nothing_more") {
+  for (int i = 0; i < 3; ++i) {
+    startRouter();
+  }
+  sendFor(std::chrono::milliseconds(300), "/buy/a");
+  FirstTarget->setResponseFields("Server-Leaving: 1\r\n");
+  Store->setMode(StoreMode::Silent);
+  CHECK(sendFor(std::chrono::milliseconds(700), "/buy/a")[200] > 0);
+  const std::size_t before = FirstTarget->receivedRequests().size();
+  for (const char *path : {"/safe/a", "/buy/a"}) {
+    std::map<unsigned, int> statuses =
+        sendFor(std::chrono::milliseconds(700), path);
+    CHECK(statuses[503] == 0);
+    CHECK(statuses[200] > 20);
+  }
+  CHECK(FirstTarget->receivedRequests().size() == before);
+}
+
+// Guards against requests to a target within the pause that it asks for.
+TEST_CASE_METHOD(GatewayLimitsFixture,
+                 "gateway_target_that_asks_for_a_pause_gets_one") {
+  startRouter();
+  FirstTarget->setMode(TargetMode::Rejecting);
+  FirstTarget->setResponseFields("Retry-After: 1.5\r\n");
+  sendFor(std::chrono::milliseconds(300), "/safe/a");
+  const std::size_t before = FirstTarget->receivedRequests().size();
+  CHECK(before >= 1);
+  CHECK(sendFor(std::chrono::milliseconds(900), "/safe/a")[503] == 0);
+  CHECK(FirstTarget->receivedRequests().size() == before);
+  // At the end of each pause one request comes.
+  sendFor(std::chrono::milliseconds(3'500), "/safe/a");
+  const std::size_t trials = FirstTarget->receivedRequests().size() - before;
+  CHECK(trials >= 1);
+  CHECK(trials <= 4);
+  FirstTarget->setMode(TargetMode::Serving);
+  FirstTarget->setResponseFields("");
+  sendFor(std::chrono::milliseconds(2'500), "/safe/a");
+  CHECK(FirstTarget->receivedRequests().size() > before + trials + 5);
+}
+
+TEST_CASE_METHOD(GatewayLimitsFixture,
+                 "gateway_all_targets_pausing_rejects_for_least_pause") {
+  startRouter();
+  for (TargetStandin *it : {&*FirstTarget, &*SecondTarget}) {
+    it->setMode(TargetMode::Rejecting);
+    it->setResponseFields("Retry-After: 3\r\n");
+  }
+  sendFor(std::chrono::milliseconds(200), "/safe/a");
+  const RawResponse response = sendRequest("/safe/a", "paused");
+  CHECK(response.Status == 503);
+  CHECK(std::stod(response.headerField("Retry-After")) > 2);
+}
+
 } // namespace nutmegsill::standin
--- a/packages/gateway/test/peer_codec_test.cpp
+++ b/packages/gateway/test/peer_codec_test.cpp
@@ -70,21 +70,27 @@
 
 TEST_CASE_METHOD(PeerCodecFixture, "peer_codec_limits_round_trip") {
   routing::LoadReport report;
-  report.Limits = {
-      {{TargetId{"e-1"}, 1'791'368'900'847}, 5.2, milliseconds(40), 2.5, 17},
-      {{TargetId{"e-2"}, 1}, std::nullopt, milliseconds(0), 0, 0}};
+  report.Statements = {
+      {{TargetId{"e-1"}, 1'791'368'900'847},
+       5.2,
+       milliseconds(40),
+       2.5,
+       17,
+       false},
+      {{TargetId{"e-2"}, 1}, std::nullopt, milliseconds(0), 0, 0, true}};
   CHECK_FALSE(report.isEmpty());
   const std::optional<routing::LoadReport> decoded = roundTrip(report);
   REQUIRE(decoded);
-  REQUIRE(decoded->Limits.size() == 2);
+  REQUIRE(decoded->Statements.size() == 2);
   for (std::size_t i = 0; i < 2; ++i) {
-    CHECK(decoded->Limits[i].Process == report.Limits[i].Process);
-    CHECK(decoded->Limits[i].Rate == report.Limits[i].Rate);
-    CHECK(decoded->Limits[i].Age == report.Limits[i].Age);
-    CHECK(decoded->Limits[i].Demand == report.Limits[i].Demand);
-    CHECK(decoded->Limits[i].Sent == report.Limits[i].Sent);
+    CHECK(decoded->Statements[i].Process == report.Statements[i].Process);
+    CHECK(decoded->Statements[i].Rate == report.Statements[i].Rate);
+    CHECK(decoded->Statements[i].Age == report.Statements[i].Age);
+    CHECK(decoded->Statements[i].Demand == report.Statements[i].Demand);
+    CHECK(decoded->Statements[i].Sent == report.Statements[i].Sent);
+    CHECK(decoded->Statements[i].Leaving == report.Statements[i].Leaving);
   }
-  report.Limits[0].Rate = -1;
+  report.Statements[0].Rate = -1;
   CHECK_FALSE(roundTrip(report));
 }
 
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -72,6 +72,8 @@
   RetryBudget,
   /// The targets get as many requests as they state they take.
   TargetsLimited,
+  /// The targets state that they take nothing for a while.
+  TargetsPaused,
   /// Engines have ended under a part of the prompt.
   PromptQuarantined,
 };
@@ -304,6 +306,10 @@
   PoolState &poolState(const PoolId &pool, Time now);
   std::vector<TargetState *> candidates(const DispatchRequest &request,
                                         Time now);
+  /// Rejects a request that no target may get; if some pause, until the first
+  /// pause ends.
+  Rejection rejectWithoutTarget(const DispatchRequest &request,
+                                Duration retryAfter, Time now);
   /// Rejects a request as all targets of its pool are at their limits.
   /// Successive requests are told to return one after the other, at the rate at
   /// which this router may send.
--- a/packages/routing/include/nutmegsill/routing/load_report.h
+++ b/packages/routing/include/nutmegsill/routing/load_report.h
@@ -57,13 +57,13 @@
   /// Routers, of those in the sum, that serve their requests late.
   std::vector<HostId> OverloadedHosts;
   QuarantineReport Quarantine;
-  std::vector<LimitReport> Limits;
+  std::vector<StatementReport> Statements;
 
   /// Whether there is nothing to tell of targets, teams, prompts that crash
   /// engines, and limits.
   bool isEmpty() const {
     return Targets.empty() && Teams.empty() && Quarantine.isEmpty() &&
-           Limits.empty();
+           Statements.empty();
   }
 };
 
--- a/packages/routing/include/nutmegsill/routing/target_statements.h
+++ b/packages/routing/include/nutmegsill/routing/target_statements.h
@@ -28,10 +28,17 @@
   std::optional<double> RequestRate;
   /// The value of a limit that is no finite, non-negative number.
   std::string InvalidRate;
+  /// The target's process leaves and takes no new requests.
+  bool Leaving = false;
+  /// Time for which the target takes nothing from this router.
+  std::optional<Duration> Pause;
+  /// The value of a pause that is no finite, non-negative number.
+  std::string InvalidPause;
 };
 
-/// A target's limit and its use by one router, or by several together.
-struct LimitReport {
+/// What a target stated, and the use of its limit by one router, or by several
+/// together.
+struct StatementReport {
   TargetProcess Process;
   /// Requests per second; nothing if the target states no limit any more.
   std::optional<double> Rate;
@@ -41,6 +48,7 @@
   double Demand = 0;
   /// Requests sent in the last `StatementPolicy::Window`.
   std::uint32_t Sent = 0;
+  bool Leaving = false;
 };
 
 struct StatementPolicy {
@@ -59,6 +67,11 @@
   /// Time after a limit is heard in which the peers have not reported their
   /// demand.
   Duration ReportDelay = milliseconds(1'500);
+  /// Longest pause: no statement keeps a target out for good.
+  Duration MaxPause = std::chrono::seconds(30);
+  /// Time after a pause in which one request is sent until its response has
+  /// come.
+  Duration MaxTrialTime = std::chrono::seconds(1);
   /// Time for which a change is reported even without demand.
   Duration ChangeMemory = std::chrono::seconds(2);
   /// Least time by which a peer's statement must be newer to replace one of
@@ -79,8 +92,14 @@
   void hear(const TargetProcess &process, const TargetStatement &statement,
             Time sentAt, Time now);
   /// Replaces the previous report of `peer`.
-  void receive(const HostId &peer, std::vector<LimitReport> report, Time now);
+  void receive(const HostId &peer, std::vector<StatementReport> report,
+               Time now);
 
+  /// Whether the target neither leaves nor pauses. After a pause it is closed
+  /// again while the response to the first request is awaited.
+  bool isOpen(const TargetProcess &process, Time now) const;
+  /// Remaining time of the target's pause; nothing without one.
+  std::optional<Duration> pauseOf(const TargetProcess &process, Time now) const;
   /// Offers a request to a target. If true, the request counts as sent. Of
   /// requests with a lower `weight`, at most 1, a limited target takes a
   /// smaller fraction.
@@ -91,11 +110,11 @@
   std::optional<double> statedRate(const TargetProcess &process) const;
 
   /// The limits and their use by this router.
-  std::vector<LimitReport> ownReport(Time now);
+  std::vector<StatementReport> ownReport(Time now);
   /// Adds the use by `peers` to `own`.
-  std::vector<LimitReport> groupReport(const std::vector<LimitReport> &own,
-                                       const std::vector<HostId> &peers,
-                                       Time now) const;
+  std::vector<StatementReport>
+  groupReport(const std::vector<StatementReport> &own,
+              const std::vector<HostId> &peers, Time now) const;
   /// Returns and clears the changes for the log.
   std::vector<FleetChange> takeChanges();
 
@@ -107,6 +126,13 @@
     Time HeardAt{};
     Time ChangedAt{};
     bool InvalidLogged = false;
+    bool Leaving = false;
+    /// End of the last pause.
+    Time PausedUntil{};
+    /// The first request since that pause has not been sent yet.
+    bool TrialDue = false;
+    /// Time up to which the response to that request is awaited.
+    Time TrialUntil{};
     /// Sum of the parts of a request that the offers since the last request
     /// amount to.
     double Credit = 0;
@@ -118,9 +144,12 @@
     std::uint32_t PeerSent = 0;
   };
   struct PeerReport {
-    std::vector<LimitReport> Limits;
+    std::vector<StatementReport> Statements;
     Time ReceivedAt{};
   };
+  void setLeaving(const TargetProcess &process, const char *source, Time now);
+  void setPause(Target &target, const TargetProcess &process, Duration pause,
+                Time now);
   void setRate(const TargetProcess &process, std::optional<double> rate,
                Time heardAt, const char *source, Time now);
   /// Fraction of the offered weight that the limit allows; more than 1 if it
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -52,6 +52,8 @@
     return "retry_budget";
   case RejectionReason::TargetsLimited:
     return "targets_limited";
+  case RejectionReason::TargetsPaused:
+    return "targets_paused";
   case RejectionReason::PromptQuarantined:
     return "prompt_quarantined";
   }
@@ -190,7 +192,7 @@
   }
   Quarantine.receive(report.Quarantine, relayed, now);
   if (!own) {
-    Statements.receive(peer, std::move(report.Limits), now);
+    Statements.receive(peer, std::move(report.Statements), now);
   }
   if (peer != Self) {
     Peers.receiveReport(peer, std::move(report), now);
@@ -208,6 +210,7 @@
                             Time now) {
   const TargetEntry &entry = state.Known.Entry;
   if (entry.Draining || state.Known.InEvacuatedZone ||
+      !Statements.isOpen(processOf(state), now) ||
       contains(request.AttemptedTargets, entry.Target)) {
     return false;
   }
@@ -245,6 +248,20 @@
   return available.empty() ? fallback : available;
 }
 
+Rejection Dispatcher::rejectWithoutTarget(const DispatchRequest &request,
+                                          Duration retryAfter, Time now) {
+  std::optional<Duration> pause;
+  for (const TargetState *it : Pools[request.Pool].Targets) {
+    const std::optional<Duration> own = Statements.pauseOf(processOf(*it), now);
+    pause = own ? std::min(*own, pause.value_or(*own)) : pause;
+  }
+  return Rejection{pause ? RejectionReason::TargetsPaused
+                         : RejectionReason::NoTarget,
+                   std::max(retryAfter, pause.value_or(Duration{0})),
+                   {},
+                   0};
+}
+
 Rejection Dispatcher::rejectForLimits(const DispatchRequest &request,
                                       Time now) {
   PoolState &pool = Pools[request.Pool];
@@ -312,7 +329,7 @@
                                            Time now) {
   const std::vector<TargetState *> eligible = candidates(request, now);
   if (eligible.empty()) {
-    return Rejection{RejectionReason::NoTarget, milliseconds(300), {}, 0};
+    return rejectWithoutTarget(request, milliseconds(300), now);
   }
   ++RotationOffset;
   std::vector<std::pair<double, TargetState *>> ranked;
@@ -383,8 +400,10 @@
       std::min<std::uint64_t>(state.PrefillTokens, assignment.PrefillTokens);
   assignment.PrefillTokens = 0;
   state.RunningRequests -= std::min(state.RunningRequests, 1U);
-  const bool cancelled = result == ExchangeResult::Cancelled;
-  if (cancelled) {
+  // A target that asks for a pause does not fail.
+  const bool pauses = result == ExchangeResult::Refused &&
+                      Statements.pauseOf(processOf(state), now).has_value();
+  if (result == ExchangeResult::Cancelled || pauses) {
     return;
   }
   const bool succeeded = result == ExchangeResult::Completed;
@@ -451,13 +470,13 @@
       out.OwnReport.Teams.push_back({team, rate});
     }
   }
-  out.OwnReport.Limits = Statements.ownReport(now);
+  out.OwnReport.Statements = Statements.ownReport(now);
   if (forRemotePeers) {
     out.GroupReport = Peers.aggregateWith(out.OwnReport, Recipients.GroupPeers);
     out.GroupReport.PromptsSent = UnreportedGroupPrompts.take();
     out.GroupReport.Quarantine = Quarantine.takeGroupReport(now);
-    out.GroupReport.Limits = Statements.groupReport(out.OwnReport.Limits,
-                                                    Recipients.GroupPeers, now);
+    out.GroupReport.Statements = Statements.groupReport(
+        out.OwnReport.Statements, Recipients.GroupPeers, now);
   } else {
     out.Recipients.RemotePeers.clear();
   }
--- a/packages/routing/src/engine_choice.cpp
+++ b/packages/routing/src/engine_choice.cpp
@@ -261,9 +261,8 @@
       return assignEngine(it, request, usage, now);
     }
   }
-  return ranked.empty()
-             ? Rejection{RejectionReason::NoTarget, milliseconds(500), {}, 0}
-             : rejectForLimits(request, now);
+  return ranked.empty() ? rejectWithoutTarget(request, milliseconds(500), now)
+                        : rejectForLimits(request, now);
 }
 
 Assignment Dispatcher::assignEngine(const EngineCandidate &engine,
--- a/packages/routing/src/peer_loads.cpp
+++ b/packages/routing/src/peer_loads.cpp
@@ -7,7 +7,7 @@
 void PeerLoads::receiveReport(const HostId &peer, LoadReport report, Time now) {
   report.PromptsSent.clear();
   report.Quarantine = {};
-  report.Limits.clear();
+  report.Statements.clear();
   const auto old = Reports.find(peer);
   if (old != Reports.end()) {
     subtract(old->second.Report);
--- a/packages/routing/src/target_statements.cpp
+++ b/packages/routing/src/target_statements.cpp
@@ -53,9 +53,67 @@
   limit.ChangedAt = now;
 }
 
+void TargetStatements::setLeaving(const TargetProcess &process,
+                                  const char *source, Time now) {
+  Target &target = Targets[process];
+  if (!target.Leaving) {
+    target.Leaving = true;
+    target.ChangedAt = now;
+    recordChange(Changes, "target_leaving", process, "", source);
+  }
+}
+
+void TargetStatements::setPause(Target &target, const TargetProcess &process,
+                                Duration pause, Time now) {
+  const Time until = now + std::min(pause, Policy.MaxPause);
+  if (until > target.PausedUntil) {
+    Changes.push_back({"target_paused",
+                       {{"target", process.Target.Text},
+                        {"started_at_ms", std::to_string(process.StartedAtMs)},
+                        {"pause_ms", std::to_string(toMilliseconds(pause))}}});
+    target.PausedUntil = until;
+    target.TrialDue = true;
+  }
+}
+
+bool TargetStatements::isOpen(const TargetProcess &process, Time now) const {
+  const auto it = Targets.find(process);
+  return it == Targets.end() ||
+         (!it->second.Leaving && now >= it->second.PausedUntil &&
+          now >= it->second.TrialUntil);
+}
+
+std::optional<Duration> TargetStatements::pauseOf(const TargetProcess &process,
+                                                  Time now) const {
+  const auto it = Targets.find(process);
+  if (it == Targets.end() || it->second.Leaving) {
+    return std::nullopt;
+  }
+  const Time until = std::max(it->second.PausedUntil, it->second.TrialUntil);
+  return until > now ? std::optional(until - now) : std::nullopt;
+}
+
 void TargetStatements::hear(const TargetProcess &process,
                             const TargetStatement &statement, Time sentAt,
                             Time now) {
+  if (statement.Leaving) {
+    setLeaving(process, "response", now);
+  }
+  const auto paused = Targets.find(process);
+  if (paused != Targets.end() && sentAt >= paused->second.PausedUntil) {
+    paused->second.TrialUntil = Time{};
+  }
+  if (statement.Pause) {
+    setPause(Targets[process], process, *statement.Pause, now);
+  }
+  if (!statement.InvalidPause.empty()) {
+    Target &target = Targets[process];
+    if (!target.InvalidLogged) {
+      target.InvalidLogged = true;
+      recordChange(Changes, "pause_invalid", process, statement.InvalidPause,
+                   "response");
+    }
+  }
   if (!statement.InvalidRate.empty()) {
     Target &limit = Targets[process];
     if (!limit.InvalidLogged) {
@@ -79,7 +137,7 @@
 }
 
 void TargetStatements::receive(const HostId &peer,
-                               std::vector<LimitReport> report, Time now) {
+                               std::vector<StatementReport> report, Time now) {
   LastReportAt = now;
   const auto old = Peers.find(peer);
   if (old != Peers.end()) {
@@ -87,7 +145,10 @@
   } else if (report.empty()) {
     return;
   }
-  for (const LimitReport &it : report) {
+  for (const StatementReport &it : report) {
+    if (it.Leaving) {
+      setLeaving(it.Process, "peer", now);
+    }
     const Time heardAt = now - it.Age;
     const auto known = Targets.find(it.Process);
     const bool isNews =
@@ -108,7 +169,7 @@
 }
 
 void TargetStatements::subtract(const PeerReport &report) {
-  for (const LimitReport &it : report.Limits) {
+  for (const StatementReport &it : report.Statements) {
     const auto limit = Targets.find(it.Process);
     if (limit != Targets.end()) {
       limit->second.PeerDemand =
@@ -161,6 +222,10 @@
                              double weight) {
   Target &target = Targets[process];
   target.Demand.add(weight, now);
+  if (target.TrialDue) {
+    target.TrialDue = false;
+    target.TrialUntil = now + Policy.MaxTrialTime;
+  }
   if (!target.Rate) {
     return true;
   }
@@ -190,16 +255,17 @@
   return it == Targets.end() ? std::nullopt : it->second.Rate;
 }
 
-std::vector<LimitReport> TargetStatements::ownReport(Time now) {
+std::vector<StatementReport> TargetStatements::ownReport(Time now) {
   expirePeers(now);
-  std::vector<LimitReport> out;
+  std::vector<StatementReport> out;
   for (auto &[process, limit] : Targets) {
-    LimitReport entry;
+    StatementReport entry;
     entry.Process = process;
     entry.Rate = limit.Rate;
     entry.Age = now - limit.HeardAt;
     entry.Demand = limit.Demand.rate(now);
     entry.Sent = countSent(limit, now);
+    entry.Leaving = limit.Leaving;
     const bool inUse =
         limit.Rate && (entry.Demand >= MinReportedDemand || entry.Sent > 0);
     const bool isNew = limit.ChangedAt != Time{} &&
@@ -211,12 +277,12 @@
   return out;
 }
 
-std::vector<LimitReport>
-TargetStatements::groupReport(const std::vector<LimitReport> &own,
+std::vector<StatementReport>
+TargetStatements::groupReport(const std::vector<StatementReport> &own,
                               const std::vector<HostId> &peers,
                               Time now) const {
-  std::map<TargetProcess, LimitReport> sums;
-  for (const LimitReport &it : own) {
+  std::map<TargetProcess, StatementReport> sums;
+  for (const StatementReport &it : own) {
     sums[it.Process] = it;
   }
   for (const HostId &peer : peers) {
@@ -224,20 +290,21 @@
     if (report == Peers.end()) {
       continue;
     }
-    for (const LimitReport &it : report->second.Limits) {
+    for (const StatementReport &it : report->second.Statements) {
       const auto known = Targets.find(it.Process);
       if (known == Targets.end()) {
         continue;
       }
-      LimitReport &sum = sums[it.Process];
+      StatementReport &sum = sums[it.Process];
       sum.Process = it.Process;
       sum.Rate = known->second.Rate;
       sum.Age = now - known->second.HeardAt;
       sum.Demand += it.Demand;
       sum.Sent += it.Sent;
+      sum.Leaving = known->second.Leaving;
     }
   }
-  std::vector<LimitReport> out;
+  std::vector<StatementReport> out;
   out.reserve(sums.size());
   for (auto &[process, sum] : sums) {
     out.push_back(std::move(sum));
--- a/packages/routing/test/target_statements_fleet_test.cpp
+++ b/packages/routing/test/target_statements_fleet_test.cpp
@@ -171,7 +171,7 @@
   }
 
   void report(std::size_t router, bool forRemotePeers) {
-    const std::vector<LimitReport> own = Statements[router].ownReport(Now);
+    const std::vector<StatementReport> own = Statements[router].ownReport(Now);
     post(router, Recipients[router].GroupPeers, own);
     if (forRemotePeers) {
       post(router, Recipients[router].RemotePeers,
@@ -181,7 +181,7 @@
   }
 
   void post(std::size_t from, const std::vector<HostId> &peers,
-            const std::vector<LimitReport> &report) {
+            const std::vector<StatementReport> &report) {
     for (const HostId &it : peers) {
       const std::size_t to = Index.at(it);
       if (isCut(from) || isCut(to) || draw() < Load.LostReports) {
--- a/packages/routing/test/target_statements_test.cpp
+++ b/packages/routing/test/target_statements_test.cpp
@@ -28,9 +28,9 @@
     }
     return out;
   }
-  static LimitReport peerLimit(std::optional<double> rate, milliseconds age,
-                               double demand = 0) {
-    LimitReport out;
+  static StatementReport peerLimit(std::optional<double> rate, milliseconds age,
+                                   double demand = 0) {
+    StatementReport out;
     out.Process = Process;
     out.Rate = rate;
     out.Age = age;
@@ -155,9 +155,9 @@
   Statements.hear(Process, limit(5), at(0), at(0));
   offerAll(0, 1'000);
   Statements.receive(Peer, {peerLimit(5, milliseconds(0), 30)}, at(1'000));
-  const std::vector<LimitReport> own = Statements.ownReport(at(1'000));
+  const std::vector<StatementReport> own = Statements.ownReport(at(1'000));
   REQUIRE(own.size() == 1);
-  const std::vector<LimitReport> group =
+  const std::vector<StatementReport> group =
       Statements.groupReport(own, {Peer}, at(1'000));
   REQUIRE(group.size() == 1);
   CHECK(group[0].Demand == Approx(own[0].Demand + 30));
@@ -173,4 +173,82 @@
   CHECK(Statements.ownReport(at(1)).empty());
 }
 
+TEST_CASE_METHOD(TargetStatementsFixture,
+                 "target_statements_leaving_process_stays_closed") {
+  CHECK(Statements.isOpen(Process, at(0)));
+  TargetStatement leaving;
+  leaving.Leaving = true;
+  Statements.hear(Process, leaving, at(0), at(10));
+  CHECK_FALSE(Statements.isOpen(Process, at(10)));
+  // A response without the statement does not take it back.
+  Statements.hear(Process, {}, at(20), at(30));
+  CHECK_FALSE(Statements.isOpen(Process, at(100'000)));
+  CHECK(Statements.isOpen({Process.Target, 8}, at(100'000)));
+  REQUIRE(Statements.ownReport(at(50)).size() == 1);
+  CHECK(Statements.ownReport(at(50))[0].Leaving);
+}
+
+TEST_CASE_METHOD(TargetStatementsFixture,
+                 "target_statements_peer_tells_of_leaving_process") {
+  StatementReport report = peerLimit(std::nullopt, milliseconds(0));
+  report.Leaving = true;
+  Statements.receive(Peer, {report}, at(0));
+  CHECK_FALSE(Statements.isOpen(Process, at(1)));
+  CHECK(changes() == std::vector<std::string>{"target_leaving"});
+}
+
+TEST_CASE_METHOD(TargetStatementsFixture,
+                 "target_statements_after_pause_one_request_comes_first") {
+  TargetStatement pause;
+  pause.Pause = milliseconds(2'000);
+  Statements.hear(Process, pause, at(0), at(100));
+  CHECK_FALSE(Statements.isOpen(Process, at(2'099)));
+  CHECK(Statements.pauseOf(Process, at(1'100)) == milliseconds(1'000));
+  REQUIRE(Statements.isOpen(Process, at(2'100)));
+  CHECK(Statements.offer(Process, at(2'100)));
+  CHECK_FALSE(Statements.isOpen(Process, at(2'110)));
+  SECTION("its response comes") {
+    Statements.hear(Process, {}, at(2'100), at(2'150));
+    CHECK(Statements.isOpen(Process, at(2'150)));
+  }
+  SECTION("its response does not come") {
+    CHECK(Statements.isOpen(Process, at(3'100)));
+  }
+  SECTION("its response states another pause") {
+    Statements.hear(Process, pause, at(2'100), at(2'150));
+    CHECK_FALSE(Statements.isOpen(Process, at(4'149)));
+    CHECK(Statements.isOpen(Process, at(4'150)));
+  }
+  SECTION("a response to an earlier request comes late") {
+    Statements.hear(Process, {}, at(90), at(2'150));
+    CHECK_FALSE(Statements.isOpen(Process, at(2'150)));
+  }
+}
+
+TEST_CASE_METHOD(TargetStatementsFixture,
+                 "target_statements_pause_is_bounded") {
+  TargetStatement pause;
+  pause.Pause = std::chrono::hours(24);
+  Statements.hear(Process, pause, at(0), at(0));
+  CHECK(Statements.isOpen(Process, at(30'000)));
+  TargetStatement invalid;
+  invalid.InvalidPause = "-3";
+  Statements.hear(Process, invalid, at(31'000), at(31'000));
+  CHECK(Statements.isOpen(Process, at(31'000)));
+}
+
+TEST_CASE_METHOD(TargetStatementsFixture,
+                 "target_statements_limit_pause_and_leaving_hold_together") {
+  TargetStatement all = limit(5);
+  all.Pause = milliseconds(500);
+  Statements.hear(Process, all, at(0), at(0));
+  CHECK_FALSE(Statements.isOpen(Process, at(499)));
+  CHECK(Statements.statedRate(Process) == 5);
+  CHECK(offerAll(500, 4'500) <= 21);
+  all.Leaving = true;
+  Statements.hear(Process, all, at(4'500), at(4'500));
+  CHECK_FALSE(Statements.isOpen(Process, at(9'000)));
+  CHECK_FALSE(Statements.pauseOf(Process, at(4'600)));
+}
+
 } // namespace nutmegsill::routing
