Remember leaving processes that vanish, and name things as they are

A process that states that it leaves was forgotten when its entry in the store vanished; a store restored from a copy could show it again. It is remembered for 60 s. A request that the limit turns away is not the trial after a pause. Of the reading of the diff: members and parts of functions are named for targets, not limits.

--- a/packages/routing/include/nutmegsill/routing/target_statements.h
+++ b/packages/routing/include/nutmegsill/routing/target_statements.h
@@ -72,6 +72,9 @@
   /// Time after a pause in which one request is sent until its response has
   /// come.
   Duration MaxTrialTime = std::chrono::seconds(1);
+  /// Time for which an unknown process is remembered as leaving: its entry in
+  /// the store may return.
+  Duration LeavingMemory = std::chrono::seconds(60);
   /// Time for which a change is reported even without demand.
   Duration ChangeMemory = std::chrono::seconds(2);
   /// Least time by which a peer's statement must be newer to replace one of
@@ -87,7 +90,8 @@
 
   /// Forgets the targets that are not in `known`, and sets the number of
   /// routers of the fleet.
-  void setFleet(const std::set<TargetProcess> &known, std::size_t routers);
+  void setFleet(const std::set<TargetProcess> &known, std::size_t routers,
+                Time now);
   /// Records the statement of a response to a request sent at `sentAt`.
   void hear(const TargetProcess &process, const TargetStatement &statement,
             Time sentAt, Time now);
@@ -120,7 +124,7 @@
 
 private:
   struct Target {
-    /// The stated limit.
+    /// The stated limit, in requests per second.
     std::optional<double> Rate;
     /// When the response that stated it was received.
     Time HeardAt{};
@@ -155,6 +159,9 @@
   /// Fraction of the offered weight that the limit allows; more than 1 if it
   /// allows all.
   double allowedFraction(Target &target, Time now) const;
+  /// Adds the part of a request that an offer of `weight` amounts to; returns
+  /// whether they add up to a request that may be sent, and counts it.
+  bool takeCredit(Target &target, Time now, double weight);
   /// Requests of this router in the last `StatementPolicy::Window`.
   std::uint32_t countSent(Target &target, Time now) const;
   /// Whether the requests counted so far leave room for another.
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -89,7 +89,7 @@
   for (const auto &[id, state] : Targets) {
     processes.insert(processOf(state));
   }
-  Statements.setFleet(processes, View->Routers.size());
+  Statements.setFleet(processes, View->Routers.size(), now);
   updatePools();
   updateMaxEngineCount();
   updateColdSenders();
--- a/packages/routing/src/target_statements.cpp
+++ b/packages/routing/src/target_statements.cpp
@@ -3,6 +3,7 @@
 #include "nutmegsill/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace nutmegsill::routing {
 
@@ -26,31 +27,34 @@
 } // namespace
 
 void TargetStatements::setFleet(const std::set<TargetProcess> &known,
-                                std::size_t routers) {
+                                std::size_t routers, Time now) {
   Routers = std::max<std::size_t>(1, routers);
-  std::erase_if(
-      Targets, [&known](const auto &it) { return known.count(it.first) == 0; });
+  std::erase_if(Targets, [&](const auto &it) {
+    const auto &[process, target] = it;
+    const bool kept =
+        target.Leaving && now - target.ChangedAt <= Policy.LeavingMemory;
+    return known.count(process) == 0 && !kept;
+  });
 }
 
 void TargetStatements::setRate(const TargetProcess &process,
                                std::optional<double> rate, Time heardAt,
                                const char *source, Time now) {
-  Target &limit = Targets[process];
-  limit.HeardAt = heardAt;
-  if (limit.Rate == rate) {
+  Target &target = Targets[process];
+  target.HeardAt = heardAt;
+  if (target.Rate == rate) {
     return;
   }
-  if (!limit.Rate) {
+  if (!target.Rate) {
     // Routers with few requests each do not send their first at the same time.
-    limit.Credit = static_cast<double>(
-                       rendezvousWeight(Self, process.Target.Text) >> 32U) /
-                   4294967296.0;
+    const std::uint64_t hash = rendezvousWeight(Self, process.Target.Text);
+    target.Credit = std::ldexp(static_cast<double>(hash), -64);
   }
-  const double value = rate ? *rate : limit.Rate.value_or(0);
+  const double value = rate ? *rate : target.Rate.value_or(0);
   recordChange(Changes, rate ? "limit_stated" : "limit_ended", process,
                std::to_string(value), source);
-  limit.Rate = rate;
-  limit.ChangedAt = now;
+  target.Rate = rate;
+  target.ChangedAt = now;
 }
 
 void TargetStatements::setLeaving(const TargetProcess &process,
@@ -115,9 +119,9 @@
     }
   }
   if (!statement.InvalidRate.empty()) {
-    Target &limit = Targets[process];
-    if (!limit.InvalidLogged) {
-      limit.InvalidLogged = true;
+    Target &target = Targets[process];
+    if (!target.InvalidLogged) {
+      target.InvalidLogged = true;
       recordChange(Changes, "limit_invalid", process, statement.InvalidRate,
                    "response");
     }
@@ -159,10 +163,10 @@
     if (isNews) {
       setRate(it.Process, it.Rate, heardAt, "peer", now);
     }
-    const auto limit = Targets.find(it.Process);
-    if (limit != Targets.end()) {
-      limit->second.PeerDemand += it.Demand;
-      limit->second.PeerSent += it.Sent;
+    const auto target = Targets.find(it.Process);
+    if (target != Targets.end()) {
+      target->second.PeerDemand += it.Demand;
+      target->second.PeerSent += it.Sent;
     }
   }
   Peers[peer] = PeerReport{std::move(report), now};
@@ -170,11 +174,11 @@
 
 void TargetStatements::subtract(const PeerReport &report) {
   for (const StatementReport &it : report.Statements) {
-    const auto limit = Targets.find(it.Process);
-    if (limit != Targets.end()) {
-      limit->second.PeerDemand =
-          std::max(0.0, limit->second.PeerDemand - it.Demand);
-      limit->second.PeerSent -= std::min(limit->second.PeerSent, it.Sent);
+    const auto target = Targets.find(it.Process);
+    if (target != Targets.end()) {
+      target->second.PeerDemand =
+          std::max(0.0, target->second.PeerDemand - it.Demand);
+      target->second.PeerSent -= std::min(target->second.PeerSent, it.Sent);
     }
   }
 }
@@ -222,13 +226,17 @@
                              double weight) {
   Target &target = Targets[process];
   target.Demand.add(weight, now);
+  if (target.Rate && !takeCredit(target, now, weight)) {
+    return false;
+  }
   if (target.TrialDue) {
     target.TrialDue = false;
     target.TrialUntil = now + Policy.MaxTrialTime;
   }
-  if (!target.Rate) {
-    return true;
-  }
+  return true;
+}
+
+bool TargetStatements::takeCredit(Target &target, Time now, double weight) {
   const double allowed = std::min(1.0, weight * allowedFraction(target, now));
   target.Credit = std::min(MaxCredit, target.Credit + allowed);
   if (target.Credit < 1 || !hasRoom(target, now)) {
@@ -258,18 +266,18 @@
 std::vector<StatementReport> TargetStatements::ownReport(Time now) {
   expirePeers(now);
   std::vector<StatementReport> out;
-  for (auto &[process, limit] : Targets) {
+  for (auto &[process, target] : Targets) {
     StatementReport entry;
     entry.Process = process;
-    entry.Rate = limit.Rate;
-    entry.Age = now - limit.HeardAt;
-    entry.Demand = limit.Demand.rate(now);
-    entry.Sent = countSent(limit, now);
-    entry.Leaving = limit.Leaving;
+    entry.Rate = target.Rate;
+    entry.Age = now - target.HeardAt;
+    entry.Demand = target.Demand.rate(now);
+    entry.Sent = countSent(target, now);
+    entry.Leaving = target.Leaving;
     const bool inUse =
-        limit.Rate && (entry.Demand >= MinReportedDemand || entry.Sent > 0);
-    const bool isNew = limit.ChangedAt != Time{} &&
-                       now - limit.ChangedAt < Policy.ChangeMemory;
+        target.Rate && (entry.Demand >= MinReportedDemand || entry.Sent > 0);
+    const bool isNew = target.ChangedAt != Time{} &&
+                       now - target.ChangedAt < Policy.ChangeMemory;
     if (inUse || isNew) {
       out.push_back(std::move(entry));
     }
--- a/packages/routing/test/target_statements_fleet_test.cpp
+++ b/packages/routing/test/target_statements_fleet_test.cpp
@@ -115,7 +115,7 @@
   void start(std::size_t router) {
     Statements[router] = TargetStatements(Entries[router].Host);
     Statements[router].setFleet({Processes.begin(), Processes.end()},
-                                Load.Routers);
+                                Load.Routers, Now);
     HeardAt[router].assign(Load.Targets, std::nullopt);
   }
 
--- a/packages/routing/test/target_statements_test.cpp
+++ b/packages/routing/test/target_statements_test.cpp
@@ -168,7 +168,7 @@
 TEST_CASE_METHOD(TargetStatementsFixture,
                  "target_statements_of_unknown_targets_are_forgotten") {
   Statements.hear(Process, limit(5), at(0), at(0));
-  Statements.setFleet({}, 9);
+  Statements.setFleet({}, 9, at(1));
   CHECK_FALSE(Statements.statedRate(Process));
   CHECK(Statements.ownReport(at(1)).empty());
 }
@@ -251,4 +251,15 @@
   CHECK_FALSE(Statements.pauseOf(Process, at(4'600)));
 }
 
+TEST_CASE_METHOD(TargetStatementsFixture,
+                 "target_statements_leaving_process_that_vanishes_is_kept") {
+  TargetStatement leaving;
+  leaving.Leaving = true;
+  Statements.hear(Process, leaving, at(0), at(10));
+  Statements.setFleet({}, 9, at(1'000));
+  CHECK_FALSE(Statements.isOpen(Process, at(1'000)));
+  Statements.setFleet({}, 9, at(70'000));
+  CHECK(Statements.isOpen(Process, at(70'000)));
+}
+
 } // namespace nutmegsill::routing
