Believe a process that takes its leaving back

After a planned stop of both targets had been taken back, callers got 503 for good: a process that had once been leaving was kept out whatever it wrote later, where only an older entry of a restored store must not bring it back. Such an entry is doubted like that of a removed process, until it is written again.

--- a/packages/routing/src/fleet_state.cpp
+++ b/packages/routing/src/fleet_state.cpp
@@ -120,7 +120,10 @@
 bool FleetState::isSuperseded(const TargetEntry &entry) const {
   const auto known = Targets.find(entry.Target);
   if (known != Targets.end()) {
-    return entry.StartedAtMs < known->second.Entry.StartedAtMs;
+    const TargetEntry &latest = known->second.Entry;
+    const bool undoesLeaving = entry.StartedAtMs == latest.StartedAtMs &&
+                               latest.Draining && !entry.Draining;
+    return entry.StartedAtMs < latest.StartedAtMs || undoesLeaving;
   }
   return RemovedProcesses.count({entry.Target, entry.StartedAtMs}) != 0;
 }
@@ -222,11 +225,9 @@
   fresh.ColdUntil = now + entry.RemainingColdTime;
   if (known && before->second.Entry.StartedAtMs == entry.StartedAtMs) {
     fresh.ColdUntil = std::max(fresh.ColdUntil, before->second.ColdUntil);
-    // A process that leaves does not return, whatever a restored store says.
-    fresh.Entry.Draining |= before->second.Entry.Draining;
   }
   const bool same = known && before->second.Entry.Address == entry.Address &&
-                    before->second.Entry.Draining == fresh.Entry.Draining &&
+                    before->second.Entry.Draining == entry.Draining &&
                     before->second.Entry.StartedAtMs == entry.StartedAtMs;
   if (!same) {
     recordChange(known ? "target_changed" : "target_seen",
@@ -234,7 +235,7 @@
                   {"pool", entry.Pool.Text},
                   {"zone", entry.Zone.Text},
                   {"address", entry.Address},
-                  {"draining", fresh.Entry.Draining ? "true" : "false"},
+                  {"draining", entry.Draining ? "true" : "false"},
                   {"cold_ms", millisecondsText(entry.RemainingColdTime)}});
   }
   Targets[entry.Target] = std::move(fresh);
--- a/packages/routing/test/fleet_state_test.cpp
+++ b/packages/routing/test/fleet_state_test.cpp
@@ -156,6 +156,21 @@
   CHECK(find("e-2") != nullptr);
 }
 
+// Guards against targets that stay out for good after a planned stop that was
+// taken back: the soak found it.
+TEST_CASE_METHOD(FleetStateFixture,
+                 "fleet_state_process_that_takes_leaving_back_is_used") {
+  applyFullListing(at(0));
+  TargetEntry leaving = target("e-1", "engines");
+  leaving.Draining = true;
+  State.applyUpdate(TargetUpdated{leaving}, at(100));
+  State.applyRestoredListing({TargetUpdated{target("e-1", "engines")}},
+                             at(1'000));
+  CHECK(find("e-1")->Entry.Draining);
+  State.applyUpdate(TargetUpdated{target("e-1", "engines")}, at(2'000));
+  CHECK_FALSE(find("e-1")->Entry.Draining);
+}
+
 TEST_CASE_METHOD(FleetStateFixture,
                  "fleet_state_restored_entry_is_believed_after_grace_period") {
   applyFullListing(at(0));
