--- a/packages/routing/include/nutmegsill/routing/target_statements.h
+++ b/packages/routing/include/nutmegsill/routing/target_statements.h
@@ -1,6 +1,9 @@
 /// Keeps what targets state of themselves in their responses, and divides the
 /// requests that a target takes among the routers.
 ///
+/// Answers the load of more requests than a target takes from all routers
+/// together, spread over few or hundreds of routers.
+///
 /// A target's limit holds for all routers together. The routers exchange with
 /// their load reports how many requests they have for a target at its limit;
 /// each sends the same fraction of its requests there, so that they add up to
--- a/packages/routing/test/dispatcher_test.cpp
+++ b/packages/routing/test/dispatcher_test.cpp
@@ -355,8 +355,7 @@
   CHECK(rejected >= 85);
 }
 
-// Guards against a team that gets most of the limited requests as it asks most
-// often.
+// Guards against a team that crowds others out by asking most often.
 TEST_CASE_METHOD(DispatcherFixture,
                  "dispatcher_limited_engines_are_shared_by_teams") {
   TargetStatement statement;
--- a/packages/routing/test/fleet_state_test.cpp
+++ b/packages/routing/test/fleet_state_test.cpp
@@ -156,8 +156,7 @@
   CHECK(find("e-2") != nullptr);
 }
 
-// Guards against targets that stay out for good after a planned stop that was
-// taken back: the soak found it.
+// Guards against targets that stay out although they took their leaving back.
 TEST_CASE_METHOD(FleetStateFixture,
                  "fleet_state_process_that_takes_leaving_back_is_used") {
   applyFullListing(at(0));
