Drop messages to a peer whose address the library refuses

A router's entry whose peer address holds a NUL passed the check of its form, and ZeroMQ refused the part before the NUL: zmq::error_t left the handler that sent the first message, which ends the process; a router that starts again reads the same entry. The same exception follows when no socket is left.

connect() returns nothing then, and the message counts as dropped (no_connection).

--- a/packages/gateway/test/peer_socket_test.cpp
+++ b/packages/gateway/test/peer_socket_test.cpp
@@ -77,4 +77,20 @@
   CHECK(most <= 64);
 }
 
+// Guards against an exception that ends the process.
+TEST_CASE_METHOD(PeerSocketFixture,
+                 "peer_socket_address_that_is_not_accepted_drops_the_message") {
+  const std::string odd("127.0.0.1\0:80", 13);
+  for (const std::string &address :
+       {odd, std::string("::1:80"), std::string("127.0.0.1:0"),
+        std::string("[fe80::1%none]:80"), std::string("[::1]:80"),
+        std::string("host.example:80")}) {
+    Sender->setPeers({{HostId{"odd"}, address}});
+    CHECK_NOTHROW(Sender->send(HostId{"odd"}, "test", "x"));
+    CHECK_NOTHROW(Sender->send(HostId{"odd"}, "test", "x"));
+  }
+  Sender->setPeers({{HostId{"receiver"}, ReceiverAddress}});
+  connect();
+}
+
 } // namespace nutmegsill
--- a/packages/process/src/peer_socket.cpp
+++ b/packages/process/src/peer_socket.cpp
@@ -69,7 +69,7 @@
   void receiveMessages();
   void receiveMessage(const zmq::message_t &identity,
                       const zmq::message_t &body);
-  zmq::socket_t connect(const std::string &address);
+  std::optional<zmq::socket_t> connect(const std::string &address);
   void receivePending() {
     replyToAuthRequests();
     receiveMessages();
@@ -184,7 +184,10 @@
   OnMessage(*from, body.to_string_view());
 }
 
-zmq::socket_t PeerSocket::Implementation::connect(const std::string &address) {
+/// Returns nothing if the library does not take the address or has no socket
+/// left.
+std::optional<zmq::socket_t>
+PeerSocket::Implementation::connect(const std::string &address) try {
   zmq::socket_t socket(ZmqContext, zmq::socket_type::dealer);
   socket.set(zmq::sockopt::routing_id, encodeIdentity(Options.Self));
   socket.set(zmq::sockopt::linger, 0);
@@ -203,6 +206,8 @@
   }
   socket.connect("tcp://" + address);
   return socket;
+} catch (const zmq::error_t &) {
+  return std::nullopt;
 }
 
 PeerSocket::PeerSocket(std::unique_ptr<Implementation> implementation)
@@ -258,6 +263,10 @@
   if (!socket) {
     socket = Impl->connect(it->second.Address);
   }
+  if (!socket) {
+    Impl->Counters.countDroppedPeerMessage("no_connection");
+    return;
+  }
   const zmq::send_result_t sent =
       socket->send(zmq::buffer(bytes), zmq::send_flags::dontwait);
   if (sent) {
