Bound what is reported and remembered of unreadable entries

Each unreadable entry was a line of the log for each new reason, and each pair of key and reason was remembered for the life of the process: a writer that changes many odd entries each second fills the log and the memory.

UnreadableReports remembers the last reason of a thousand items and reports 50 in a minute; entries_unreadable states how many were left out.

fleet_state_many_changing_odd_entries_are_reported_seldom (1,000 entries, 60 changes of each): on the code before 60,000 lines, now fewer than 200.

--- a/packages/routing/include/nutmegsill/routing/fleet_state.h
+++ b/packages/routing/include/nutmegsill/routing/fleet_state.h
@@ -4,6 +4,7 @@
 #include "nutmegsill/routing/fleet_change.h"
 #include "nutmegsill/routing/model.h"
 #include "nutmegsill/routing/target_process.h"
+#include "nutmegsill/routing/unreadable_reports.h"
 
 #include <string>
 #include <vector>
@@ -101,7 +102,7 @@
   /// Entries of removed processes in a restored store, with the time from which
   /// they are believed if they are still there.
   std::map<TargetId, std::pair<TargetEntry, Time>> DoubtedEntries;
-  std::set<std::string> ReportedUnreadable;
+  UnreadableReports Unreadable;
   bool HasListing = false;
   bool ViewOutdated = true;
   std::optional<Time> FailingSince;
--- a/packages/routing/include/nutmegsill/routing/model.h
+++ b/packages/routing/include/nutmegsill/routing/model.h
@@ -173,11 +173,13 @@
 struct RouterRemoved {
   HostId Host;
 };
-/// An item that cannot be decoded; `Target` is set for a target's entry.
+/// An item that cannot be decoded; `Target` or `Router` is set for the entry of
+/// one.
 struct UnreadableItem {
   std::string Key;
   std::string Reason;
   std::optional<TargetId> Target;
+  std::optional<HostId> Router;
 };
 /// An item that does not concern routers.
 struct UnrelatedItem {};
--- a/packages/routing/src/fleet_state.cpp
+++ b/packages/routing/src/fleet_state.cpp
@@ -298,7 +298,12 @@
 }
 
 void FleetState::apply(const UnreadableItem &it, Time now) {
-  if (ReportedUnreadable.insert(it.Key + it.Reason).second) {
+  const UnreadableReports::Decision report = Unreadable.record(it, now);
+  if (report.LeftOut > 0) {
+    recordChange("entries_unreadable",
+                 {{"left_out", std::to_string(report.LeftOut)}});
+  }
+  if (report.Reports) {
     recordChange("entry_unreadable", {{"key", it.Key}, {"reason", it.Reason}});
   }
   if (it.Target) {
--- a/packages/routing/test/fleet_state_test.cpp
+++ b/packages/routing/test/fleet_state_test.cpp
@@ -110,12 +110,34 @@
 TEST_CASE_METHOD(FleetStateFixture,
                  "fleet_state_unreadable_entry_removes_target") {
   applyFullListing(at(0));
-  State.applyUpdate(
-      UnreadableItem{"key-of-e-1", "unknown state", TargetId{"e-1"}}, at(10));
+  State.applyUpdate(UnreadableItem{"key-of-e-1", "unknown state",
+                                   TargetId{"e-1"}, std::nullopt},
+                    at(10));
   CHECK(find("e-1") == nullptr);
   CHECK(find("e-2") != nullptr);
 }
 
+// Guards against logs and memory that grow with odd entries.
+TEST_CASE_METHOD(FleetStateFixture,
+                 "fleet_state_many_changing_odd_entries_are_reported_seldom") {
+  applyFullListing(at(0));
+  State.takeChanges();
+  std::size_t reports = 0;
+  for (int second = 0; second < 60; ++second) {
+    for (int i = 0; i < 1'000; ++i) {
+      State.applyUpdate(
+          UnreadableItem{"key-" + std::to_string(i),
+                         "unknown state " + std::to_string(second),
+                         TargetId{"odd-" + std::to_string(i)}, std::nullopt},
+          at(1'000 * second));
+    }
+    reports += State.takeChanges().size();
+  }
+  CHECK(reports > 0);
+  CHECK(reports < 200);
+  CHECK(find("e-1") != nullptr);
+}
+
 TEST_CASE_METHOD(FleetStateFixture,
                  "fleet_state_restarted_target_resets_cold_time") {
   applyFullListing(at(0));
