Stop using a target or router at once when its entry is unreadable

Around an outage of the store, an odd entry in place of a sound one was taken for an entry whose lease had expired: the old entry was used for up to 2.2 s more. On the watch, an odd entry of a router left the old one in force, in a listing it removed it.

fleet_state_unreadable_entry_in_outage_grace_is_not_used and fleet_state_unreadable_entry_removes_router: on the code before the target and the router were still there.

--- a/packages/routing/src/fleet_state.cpp
+++ b/packages/routing/src/fleet_state.cpp
@@ -306,9 +306,16 @@
   if (report.Reports) {
     recordChange("entry_unreadable", {{"key", it.Key}, {"reason", it.Reason}});
   }
+  // An unreadable entry invalidates the previous one. It is no lapse of a
+  // lease: the grace period after an outage does not cover it.
   if (it.Target) {
-    // An unreadable entry invalidates the previous entry of the target.
-    apply(TargetRemoved{*it.Target}, now);
+    DoubtedEntries.erase(*it.Target);
+    if (Targets.count(*it.Target) != 0) {
+      eraseTarget(*it.Target, "entry unreadable", now);
+    }
+  }
+  if (it.Router) {
+    apply(RouterRemoved{*it.Router}, now);
   }
 }
 
--- a/packages/routing/test/fleet_state_test.cpp
+++ b/packages/routing/test/fleet_state_test.cpp
@@ -117,6 +117,30 @@
   CHECK(find("e-2") != nullptr);
 }
 
+TEST_CASE_METHOD(FleetStateFixture,
+                 "fleet_state_unreadable_entry_in_outage_grace_is_not_used") {
+  applyFullListing(at(0));
+  State.recordStoreFailure(at(1'000));
+  State.recordStoreSuccess(at(9'000));
+  State.applyUpdate(UnreadableItem{"key-of-e-1", "unknown state",
+                                   TargetId{"e-1"}, std::nullopt},
+                    at(9'010));
+  CHECK(find("e-1") == nullptr);
+  State.applyUpdate(TargetUpdated{target("e-1", "engines")}, at(9'020));
+  CHECK(find("e-1") != nullptr);
+}
+
+TEST_CASE_METHOD(FleetStateFixture,
+                 "fleet_state_unreadable_entry_removes_router") {
+  applyFullListing(at(0));
+  State.applyUpdate(UnreadableItem{"key-of-host-2", "invalid", std::nullopt,
+                                   HostId{"host-2"}},
+                    at(10));
+  CHECK(State.view()->Routers.empty());
+  State.applyUpdate(RouterUpdated{router("host-2")}, at(20));
+  CHECK(State.view()->Routers.size() == 1);
+}
+
 // Guards against logs and memory that grow with odd entries.
 TEST_CASE_METHOD(FleetStateFixture,
                  "fleet_state_many_changing_odd_entries_are_reported_seldom") {
