Refuse entries whose address cannot be connected to

Addresses are checked when an entry is decoded. parseEndpoint takes IPv6 addresses in brackets only, and formatEndpoint writes them so, also in the router's own entry and in Host fields.

--- a/packages/gateway/src/control_server.cpp
+++ b/packages/gateway/src/control_server.cpp
@@ -41,10 +41,6 @@
 /// Timeout of the query for the prompt parts that an engine has cached.
 constexpr milliseconds CacheQueryTimeout{700};
 
-std::string formatEndpoint(const Endpoint &endpoint) {
-  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-}
-
 /// Returns the system time in microseconds, so that later incarnations have
 /// larger numbers.
 IncarnationId makeIncarnationId() {
--- a/packages/net/include/nutmegsill/http_client.h
+++ b/packages/net/include/nutmegsill/http_client.h
@@ -19,8 +19,10 @@
 
 using Endpoint = boost::asio::ip::tcp::endpoint;
 
-/// Parses "IP:port"; returns nullopt for any other form.
+/// Parses "IP:port", an IPv6 address in brackets; returns nullopt for any other
+/// form.
 std::optional<Endpoint> parseEndpoint(const std::string &text);
+std::string formatEndpoint(const Endpoint &endpoint);
 
 struct HttpRequest {
   /// HTTP method in upper case.
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -31,8 +31,7 @@
                                              const HttpRequest &request) {
   const http::verb verb = http::string_to_verb(request.Method);
   http::request<http::string_body> message{verb, request.Path, 11};
-  message.set(http::field::host,
-              to.address().to_string() + ":" + std::to_string(to.port()));
+  message.set(http::field::host, formatEndpoint(to));
   for (const auto &[name, value] : request.Headers) {
     message.set(name, value);
   }
@@ -45,25 +44,35 @@
 
 std::optional<Endpoint> parseEndpoint(const std::string &text) {
   const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
+  if (colon == std::string::npos || text.find('\0') != std::string::npos) {
     return std::nullopt;
   }
-  boost::system::error_code ec;
   std::string host = text.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+  const bool bracketed =
+      host.size() > 2 && host.front() == '[' && host.back() == ']';
+  if (bracketed) {
     host = host.substr(1, host.size() - 2);
   }
+  boost::system::error_code ec;
   const asio::ip::address address = asio::ip::make_address(host, ec);
   std::uint16_t port = 0;
   const char *end = text.data() + text.size();
   const std::from_chars_result parsed =
       std::from_chars(text.data() + colon + 1, end, port);
-  if (ec || parsed.ec != std::errc() || parsed.ptr != end) {
+  if (ec || address.is_v6() != bracketed || parsed.ec != std::errc() ||
+      parsed.ptr != end) {
     return std::nullopt;
   }
   return Endpoint(address, port);
 }
 
+std::string formatEndpoint(const Endpoint &endpoint) {
+  const std::string host = endpoint.address().to_string();
+  const std::string port = std::to_string(endpoint.port());
+  return endpoint.address().is_v6() ? "[" + host + "]:" + port
+                                    : host + ":" + port;
+}
+
 asio::awaitable<HttpResponse>
 HttpClient::exchange(Stream &stream, Endpoint to, const HttpRequest &request,
                      Duration timeout, bool connectFirst, bool &reusable) {
