--- a/packages/ctl/src/fleet_status.cpp
+++ b/packages/ctl/src/fleet_status.cpp
@@ -33,7 +33,7 @@
     for (StoreUpdate &it : page.Ok->Updates) {
       listed.push_back(std::move(it));
     }
-    hasMore = page.Ok->HasMore && page.Ok->LastKey > afterKey;
+    hasMore = page.Ok->HasMore;
     afterKey = page.Ok->LastKey;
   }
   updates = std::move(listed);
--- a/packages/gateway/src/store_watcher.cpp
+++ b/packages/gateway/src/store_watcher.cpp
@@ -151,7 +151,7 @@
     for (StoreUpdate &update : page.Ok->Updates) {
       updates.push_back(std::move(update));
     }
-    hasMore = page.Ok->HasMore && page.Ok->LastKey > afterKey;
+    hasMore = page.Ok->HasMore;
     afterKey = page.Ok->LastKey;
   }
   // Changes that a watch has returned since the first page are newer than the
