Print the status of a fleet although a text is not UTF-8

nutmegsillctl status ended with an exception and no output; such bytes are replaced, as in the log.

fleet_status_text_that_is_not_utf8_is_printed: on the code before json type_error.316.

--- a/packages/ctl/src/fleet_status.cpp
+++ b/packages/ctl/src/fleet_status.cpp
@@ -39,6 +39,11 @@
   updates = std::move(listed);
 }
 
+/// Returns JSON text; replaces bytes that are not UTF-8.
+std::string toText(const Json &value, int indent = -1) {
+  return value.dump(indent, ' ', false, Json::error_handler_t::replace);
+}
+
 /// Adds one item of the store to the status.
 struct StatusWriter {
   Json &Root;
@@ -98,18 +103,18 @@
     std::visit(StatusWriter{root}, it);
   }
   if (asJson) {
-    out << root.dump(2) << "\n";
+    out << toText(root, 2) << "\n";
     return;
   }
   for (const auto &[section, value] : root.items()) {
     out << section << ":";
     if (!value.is_array()) {
-      out << " " << value.dump() << "\n";
+      out << " " << toText(value) << "\n";
       continue;
     }
     out << " " << value.size() << "\n";
     for (const Json &row : value) {
-      out << "  " << row.dump() << "\n";
+      out << "  " << toText(row) << "\n";
     }
   }
 }
