Refuse JSON texts of more than 64 levels before they are parsed

The parser needs no stack for the depth, but copies and output of a parsed value do, and a megabyte of levels is a megabyte of allocations each time it is read. Items, pages, listings of engines and log lines have a few levels.

--- a/packages/ctl/src/explain.cpp
+++ b/packages/ctl/src/explain.cpp
@@ -1,5 +1,7 @@
 #include "explain.h"
 
+#include "nutmegsill/json_nesting.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -35,7 +37,7 @@
 
 std::optional<LogRecord> parseLogLine(const std::string &line) {
   const std::size_t begin = line.find('{');
-  if (begin == std::string::npos) {
+  if (begin == std::string::npos || isNestedDeeperThan(line)) {
     return std::nullopt;
   }
   LogRecord record;
--- a/packages/ctl/test/fleet_status_test.cpp
+++ b/packages/ctl/test/fleet_status_test.cpp
@@ -36,4 +36,15 @@
   }
 }
 
+// Guards against a log line that ends the tool by its depth.
+TEST_CASE_METHOD(FleetStatusFixture, "explain_deeply_nested_line_is_skipped") {
+  std::istringstream log(
+      R"({"ts_ms":1,"id":"a","what":"ended","x":)" + std::string(500'000, '[') +
+      std::string(500'000, ']') + "}\n" +
+      R"({"ts_ms":2,"id":"a","what":"ended","outcome":"complete"})" + "\n");
+  std::ostringstream out;
+  CHECK(explainRequest("a", {&log}, out));
+  CHECK(out.str().size() < 1'000);
+}
+
 } // namespace nutmegsill
