Measure the steps of a stop from the arrival of its signal

All steps of a planned stop counted from the moment at which the control loop handled the signal, and passed through its queue and that of the traffic loop: with a lagging loop requests were admitted longer than callers may expect, and the end moved towards the kill. With a grace period below 3.3 s the wait for requests in flight was negative, and admission outlasted the grace.

The signal handler notes the time of its arrival. StopSchedule, which has no clock, derives all steps from it and from the grace period; a session compares the arrival of its request with it, and late_ms of process/stop_requested says how late the loop was.

gateway_stop_with_short_grace_ends_in_it failed before: the process still ran at the end of 2 s.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -2,10 +2,11 @@
 
 #include "control_server.h"
 #include "log.h"
+#include "spawn.h"
+#include "stop_signal.h"
 #include "traffic_server.h"
 
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
 #include <fstream>
@@ -18,47 +19,20 @@
 namespace {
 
 constexpr int ExitFailure = 1;
-/// Time from the stop signal during which requests are still admitted: callers
-/// may use an address for its TTL after the directory drops it.
-constexpr milliseconds AdmissionStopDelay{2'900};
-/// Time before the end of the grace period at which requests in flight are
-/// abandoned.
-constexpr milliseconds StopGraceMargin{400};
 
 /// Stops the process in steps: deregisters the router, rejects new requests,
 /// waits for the requests in flight, and ends the event loop.
-class GracefulShutdown {
-public:
-  GracefulShutdown(ControlServer &control, TrafficServer &traffic,
-                   Duration grace)
-      : Control(control), Traffic(traffic), StopGrace(grace),
-        Timer(control.context()) {}
-
-  void requestStop() {
-    if (StopRequested) {
-      return;
-    }
-    StopRequested = true;
-    logLine("process", "stop_requested",
-            {{"grace_ms", std::to_string(toMilliseconds(StopGrace))}});
-    Control.startDraining();
-    Timer.expires_after(AdmissionStopDelay);
-    Timer.async_wait([this](boost::system::error_code ec) {
-      if (!ec) {
-        Traffic.rejectNewRequests();
-        Traffic.callWhenIdle(StopGrace - AdmissionStopDelay - StopGraceMargin,
-                             [this] { Control.stop(); });
-      }
-    });
-  }
-
-private:
-  ControlServer &Control;
-  TrafficServer &Traffic;
-  Duration StopGrace;
-  asio::steady_timer Timer;
-  bool StopRequested = false;
-};
+asio::awaitable<void> stopOnSignal(StopSignal &signal, ControlServer &control,
+                                   TrafficServer &traffic, Duration grace) {
+  const Time signalledAt = co_await signal.wait();
+  logLine("process", "stop_requested",
+          {{"grace_ms", std::to_string(toMilliseconds(grace))},
+           {"late_ms",
+            std::to_string(toMilliseconds(bootTimeNow() - signalledAt))}});
+  control.startDraining();
+  traffic.stop(routing::StopSchedule(signalledAt, grace),
+               [&control] { control.stop(); });
+}
 
 /// Validates the settings file and logs the result. Addresses and bounds are
 /// fixed while the process runs; a restart applies them.
@@ -93,18 +67,14 @@
   if (!control) {
     return fail("control");
   }
+  StopSignal stopSignal(control->context());
   const std::unique_ptr<TrafficServer> traffic =
       TrafficServer::start(settings, shared, *metrics, *control, reason);
   if (!traffic) {
     return fail("callers");
   }
-  GracefulShutdown shutdown(*control, *traffic, settings.Bounds.StopGrace);
-  asio::signal_set stopSignals(control->context(), SIGTERM, SIGINT);
-  stopSignals.async_wait([&shutdown](boost::system::error_code ec, int) {
-    if (!ec) {
-      shutdown.requestStop();
-    }
-  });
+  spawn(control->context(), stopOnSignal(stopSignal, *control, *traffic,
+                                         settings.Bounds.StopGrace));
   asio::signal_set hangupSignals(control->context(), SIGHUP);
   std::function<void(boost::system::error_code, int)> onHangup =
       [&](boost::system::error_code ec, int) {
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -240,7 +240,8 @@
 /// response when the request is rejected.
 std::optional<LocalResponse> Session::admitRequest(Request &request) {
   const Time now = request.ArrivedAt;
-  if (Context.RejectsNewRequests) {
+  const std::optional<routing::StopSchedule> stop = Context.stopSchedule();
+  if (stop && now >= stop->admissionEnd()) {
     Writer.disableKeepAlive();
     return LocalResponse{503, "stopping", Duration{0}};
   }
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -4,6 +4,7 @@
 #include "log.h"
 #include "session.h"
 #include "spawn.h"
+#include "stop_signal.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -37,6 +38,14 @@
   return View;
 }
 
+std::optional<routing::StopSchedule> SessionContext::stopSchedule() const {
+  const std::optional<Time> signalledAt = StopSignal::arrivedAt();
+  if (!signalledAt) {
+    return std::nullopt;
+  }
+  return routing::StopSchedule(*signalledAt, Settings.Bounds.StopGrace);
+}
+
 TrafficServer::TrafficServer(const GatewaySettings &settings,
                              SharedState &shared, Metrics &metrics,
                              ControlServer &control)
@@ -50,7 +59,6 @@
               CallerConnections(settings.MaxDescriptors),
               routing::HostOverload({}),
               0,
-              false,
               nullptr},
       Control(control),
       Listener(Io, settings.CallerEndpoint,
@@ -95,10 +103,6 @@
   }
 }
 
-void TrafficServer::rejectNewRequests() {
-  asio::post(Io, [this] { Context.RejectsNewRequests = true; });
-}
-
 asio::awaitable<void> TrafficServer::reportLoad() {
   asio::steady_timer timer(Io);
   bool lastOwnEmpty = false;
@@ -175,25 +179,24 @@
   }
 }
 
-void TrafficServer::callWhenIdle(Duration maxWait,
-                                 std::function<void()> onIdle) {
-  spawn(Io, waitUntilIdle(maxWait, std::move(onIdle)));
+void TrafficServer::stop(const routing::StopSchedule &schedule,
+                         std::function<void()> onStopped) {
+  spawn(Io, runStop(schedule, std::move(onStopped)));
 }
 
-asio::awaitable<void>
-TrafficServer::waitUntilIdle(Duration maxWait, std::function<void()> onIdle) {
-  const Time deadline = bootTimeNow() + maxWait;
-  asio::steady_timer timer(Io);
-  while (Context.RequestsInFlight > 0 && bootTimeNow() < deadline) {
-    timer.expires_after(IdleCheckInterval);
-    co_await timer.async_wait(asio::use_awaitable);
+asio::awaitable<void> TrafficServer::runStop(routing::StopSchedule schedule,
+                                             std::function<void()> onStopped) {
+  co_await sleepFor(Io, schedule.admissionEnd() - bootTimeNow());
+  while (Context.RequestsInFlight > 0 &&
+         bootTimeNow() < schedule.requestEnd()) {
+    co_await sleepFor(Io, IdleCheckInterval);
   }
   if (Context.RequestsInFlight > 0) {
     logLine("process", "requests_cut",
             {{"open", std::to_string(Context.RequestsInFlight)}});
   }
   Listener.stop();
-  onIdle();
+  onStopped();
 }
 
 } // namespace nutmegsill::gateway
--- a/packages/gateway/src/traffic_server.h
+++ b/packages/gateway/src/traffic_server.h
@@ -9,6 +9,7 @@
 #include "metrics.h"
 #include "nutmegsill/routing/dispatcher.h"
 #include "nutmegsill/routing/host_overload.h"
+#include "nutmegsill/routing/stop_schedule.h"
 #include "settings.h"
 #include "shared_state.h"
 #include "target_connection_pool.h"
@@ -18,6 +19,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -34,12 +36,12 @@
   CallerConnections Callers;
   routing::HostOverload Overload;
   std::size_t RequestsInFlight = 0;
-  /// Set when the process is about to stop.
-  bool RejectsNewRequests = false;
   std::shared_ptr<const routing::FleetView> View;
 
   /// Adopts the newest view and returns it; null before the first.
   const std::shared_ptr<const routing::FleetView> &refreshView(Time now);
+  /// Set once the process has been asked to stop.
+  std::optional<routing::StopSchedule> stopSchedule() const;
 };
 
 class TrafficServer {
@@ -51,19 +53,18 @@
         ControlServer &control, std::string &reason);
   ~TrafficServer();
 
-  /// Callable from any thread.
-  void rejectNewRequests();
-  /// Stops accepting connections and calls `onIdle` on the traffic thread when
-  /// no request is in flight or `maxWait` has passed. Callable from any thread.
-  void callWhenIdle(Duration maxWait, std::function<void()> onIdle);
+  /// Ends all work by the times of `schedule` and calls `onStopped` on the
+  /// traffic thread. Callable from any thread.
+  void stop(const routing::StopSchedule &schedule,
+            std::function<void()> onStopped);
 
 private:
   TrafficServer(const GatewaySettings &settings, SharedState &shared,
                 Metrics &metrics, ControlServer &control);
   boost::asio::awaitable<void> reportLoad();
   void recordLag(Duration lag, Time now);
-  boost::asio::awaitable<void> waitUntilIdle(Duration maxWait,
-                                             std::function<void()> onIdle);
+  boost::asio::awaitable<void> runStop(routing::StopSchedule schedule,
+                                       std::function<void()> onStopped);
 
   /// Declared first, to outlive all sockets, also those in `Context`.
   boost::asio::io_context Io{1};
--- /dev/null
+++ b/packages/gateway/test/gateway_stop_test.cpp
@@ -0,0 +1,68 @@
+#include "gateway_fixture.h"
+
+#include <csignal>
+#include <thread>
+
+namespace nutmegsill::standin {
+
+class GatewayStopFixture : protected GatewayFixture {
+protected:
+  using Clock = std::chrono::steady_clock;
+
+  ~GatewayStopFixture() {
+    if (Caller.joinable()) {
+      Caller.join();
+    }
+  }
+  void setTargetModes(TargetMode mode) {
+    FirstTarget->setMode(mode);
+    SecondTarget->setMode(mode);
+  }
+  std::vector<ReceivedRequest> receivedRequests() const {
+    std::vector<ReceivedRequest> out = FirstTarget->receivedRequests();
+    const std::vector<ReceivedRequest> others =
+        SecondTarget->receivedRequests();
+    out.insert(out.end(), others.begin(), others.end());
+    return out;
+  }
+  /// Sends a request on a thread of its own and waits until a target has it.
+  void sendInBackground(const std::string &path) {
+    const std::size_t before = receivedRequests().size();
+    Caller = std::thread([this, path] {
+      Response = sendRequest(path, "background");
+      AnsweredAt = Clock::now();
+    });
+    REQUIRE(waitUntil([&] { return receivedRequests().size() > before; }));
+  }
+  void signalStop() {
+    SignalledAt = Clock::now();
+    RouterProcesses[0].signal(SIGTERM);
+  }
+  /// Sleeps until a time after the signal.
+  void sleepUntilAfterSignal(int ms) const {
+    std::this_thread::sleep_until(SignalledAt + std::chrono::milliseconds(ms));
+  }
+  /// Exit code, or nothing if the process outlives its grace period.
+  std::optional<int> exitCodeWithinGrace() {
+    const auto left =
+        SignalledAt + std::chrono::seconds(StopGraceS) - Clock::now();
+    return RouterProcesses[0].wait(
+        std::chrono::duration_cast<std::chrono::milliseconds>(left));
+  }
+
+  std::thread Caller;
+  RawResponse Response;
+  Clock::time_point AnsweredAt;
+  Clock::time_point SignalledAt;
+};
+
+// Guards against a wait for requests in flight of a negative length.
+TEST_CASE_METHOD(GatewayStopFixture,
+                 "gateway_stop_with_short_grace_ends_in_it") {
+  StopGraceS = 2;
+  startRouter();
+  signalStop();
+  CHECK(exitCodeWithinGrace() == 0);
+}
+
+} // namespace nutmegsill::standin
--- a/packages/standins/src/local_fleet.cpp
+++ b/packages/standins/src/local_fleet.cpp
@@ -103,7 +103,7 @@
       {"store", {{"address", StoreAddress}, {"shortest_lease_ms", 1000}}},
       {"bounds",
        {{"revocation_ms", RevocationBoundMs},
-        {"stop_grace_s", 6},
+        {"stop_grace_s", StopGraceS},
         {"retry_ratio", 0.2},
         {"retry_window_s", 10},
         {"retry_extra", 50}}}};
--- a/packages/standins/src/local_fleet.h
+++ b/packages/standins/src/local_fleet.h
@@ -81,6 +81,8 @@
   /// Revocation bound in the settings of routers added from now on, in
   /// milliseconds.
   int RevocationBoundMs = 5000;
+  /// Grace period in the settings of routers added from now on, in seconds.
+  int StopGraceS = 6;
   /// Limit of file descriptors in the settings of routers added from now on.
   int MaxDescriptors = 1024;
 };
