Answer requests in flight at the end of the grace period

What was in flight 0.4 s before the end of the grace period was closed without a response: the event loops were stopped and the sessions vanished.

Now the exchanges with targets are ended at nine tenths of the grace period, and each caller gets 504, or 503 if nothing was sent, with "Connection: close"; a stream that has begun ends visibly incomplete. What is left is for writing these responses on hosts with a tenth of a core.

gateway_request_at_end_of_grace_is_answered failed before: the connection was closed with no byte sent (status 0 instead of 504).

--- a/packages/gateway/src/caller_connections.cpp
+++ b/packages/gateway/src/caller_connections.cpp
@@ -12,11 +12,17 @@
 
 } // namespace
 
+void CallerConnections::endRequests() const {
+  for (CallerConnection *it : Open) {
+    it->endRequest();
+  }
+}
+
 Duration CallerConnections::idleTimeout(Duration configured) const {
-  if (OpenCount >= KeepAliveLimit) {
+  if (Open.size() >= KeepAliveLimit) {
     return std::min<Duration>(MinIdleTimeout, configured);
   }
-  const double freeFraction = 1.0 - static_cast<double>(OpenCount) /
+  const double freeFraction = 1.0 - static_cast<double>(Open.size()) /
                                         static_cast<double>(KeepAliveLimit);
   const Duration scaled =
       std::chrono::duration_cast<Duration>(configured * freeFraction);
--- a/packages/gateway/src/caller_connections.h
+++ b/packages/gateway/src/caller_connections.h
@@ -1,14 +1,26 @@
-/// Idle timeouts of callers' connections.
+/// The callers' connections and their idle timeouts.
 #pragma once
 
 #include "nutmegsill/types.h"
 
 #include <cstddef>
+#include <set>
 
 namespace nutmegsill::gateway {
 
-/// Counts callers' connections and shortens their idle timeout as they use up
-/// the process's file descriptors. Not thread-safe.
+/// A caller's connection.
+class CallerConnection {
+public:
+  /// Ends the request that targets serve at present: it gets a response of the
+  /// router, or its stream ends incomplete.
+  virtual void endRequest() = 0;
+
+protected:
+  ~CallerConnection() = default;
+};
+
+/// The callers' connections; shortens their idle timeout as they use up the
+/// process's file descriptors. Not thread-safe.
 class CallerConnections {
 public:
   /// Allots half of `descriptors` to callers; the rest is for targets, peers
@@ -16,17 +28,18 @@
   explicit CallerConnections(std::size_t descriptors)
       : KeepAliveLimit(descriptors / 2) {}
 
-  void countOpened() { ++OpenCount; }
-  void countClosed() { --OpenCount; }
+  void add(CallerConnection &connection) { Open.insert(&connection); }
+  void remove(CallerConnection &connection) { Open.erase(&connection); }
+  void endRequests() const;
   /// Whether a connection may stay open after its response.
-  bool mayKeepAlive() const { return OpenCount < KeepAliveLimit; }
+  bool mayKeepAlive() const { return Open.size() < KeepAliveLimit; }
   /// Time to wait for the next request on a connection: `configured`, reduced
   /// in proportion to the connections that are open.
   Duration idleTimeout(Duration configured) const;
 
 private:
   std::size_t KeepAliveLimit;
-  std::size_t OpenCount = 0;
+  std::set<CallerConnection *> Open;
 };
 
 } // namespace nutmegsill::gateway
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -37,13 +37,14 @@
 /// Why a request was cancelled before its response was complete.
 enum class CancelCause { None, CallerDisconnected, TimeLimit, AttemptTimeout };
 
-class Session {
+class Session : public CallerConnection {
 public:
   Session(SessionContext &context, tcp::socket caller)
       : Context(context), CallerSocket(std::move(caller)),
         Timer(CallerSocket.get_executor()), Writer(CallerSocket) {}
 
   asio::awaitable<void> run();
+  void endRequest() override;
 
 private:
   using Parser = http::request_parser<http::string_body>;
@@ -124,6 +125,12 @@
   }
 }
 
+void Session::endRequest() {
+  if (CurrentExchange != nullptr) {
+    cancel(CancelCause::TimeLimit);
+  }
+}
+
 void Session::watchCaller() {
   if (WatchingCaller) {
     return;
@@ -204,7 +211,7 @@
 asio::awaitable<void> Session::run() {
   boost::system::error_code ec;
   CallerSocket.set_option(tcp::no_delay(true), ec);
-  Context.Callers.countOpened();
+  Context.Callers.add(*this);
   for (;;) {
     Parser parser;
     const bool complete = co_await readRequest(parser);
@@ -225,7 +232,7 @@
       break;
     }
   }
-  Context.Callers.countClosed();
+  Context.Callers.remove(*this);
   LifetimeToken.reset();
   if (Writer.hasStarted() && !Writer.hasFinished()) {
     // A TCP reset shows the caller that the response is incomplete.
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -191,6 +191,15 @@
          bootTimeNow() < schedule.requestEnd()) {
     co_await sleepFor(Io, IdleCheckInterval);
   }
+  if (Context.RequestsInFlight > 0) {
+    logLine("process", "requests_ended",
+            {{"open", std::to_string(Context.RequestsInFlight)}});
+    Context.Callers.endRequests();
+  }
+  while (Context.RequestsInFlight > 0 &&
+         bootTimeNow() < schedule.processEnd()) {
+    co_await sleepFor(Io, IdleCheckInterval);
+  }
   if (Context.RequestsInFlight > 0) {
     logLine("process", "requests_cut",
             {{"open", std::to_string(Context.RequestsInFlight)}});
--- a/packages/gateway/test/gateway_stop_test.cpp
+++ b/packages/gateway/test/gateway_stop_test.cpp
@@ -65,4 +65,35 @@
   CHECK(exitCodeWithinGrace() == 0);
 }
 
+// Guards against requests that are closed without a response.
+TEST_CASE_METHOD(GatewayStopFixture,
+                 "gateway_request_at_end_of_grace_is_answered") {
+  StopGraceS = 4;
+  startRouter();
+  setTargetModes(TargetMode::Hanging);
+  signalStop();
+  sleepUntilAfterSignal(1'200);
+  sendInBackground("/buy/a");
+  CHECK(exitCodeWithinGrace() == 0);
+  Caller.join();
+  CHECK(Response.Complete);
+  CHECK(Response.Status == 504);
+  CHECK(Response.headerField("Connection") == "close");
+}
+
+TEST_CASE_METHOD(GatewayStopFixture,
+                 "gateway_stream_at_end_of_grace_ends_incomplete") {
+  StopGraceS = 4;
+  startRouter();
+  FirstTarget->setEventPause(std::chrono::milliseconds(800));
+  SecondTarget->setEventPause(std::chrono::milliseconds(800));
+  signalStop();
+  sleepUntilAfterSignal(1'200);
+  sendInBackground("/stream/whole/a");
+  CHECK(exitCodeWithinGrace() == 0);
+  Caller.join();
+  CHECK(Response.Status == 200);
+  CHECK(!Response.Complete);
+}
+
 } // namespace nutmegsill::standin
