Close idle connections and finish reading requests before a stop ends

The process ended as soon as no whole request was in flight. A request that was being read then was cut; callers on kept connections and in the listen queue were still taken until the end, to be cut or rejected.

The listening socket is closed at the end of admission, after the connections that wait there have been taken, so that callers try another router at once; idle connections are closed; and the process waits for all connections, until the last step at most. A request that arrives nevertheless is read and gets 503.

Failed before: gateway_request_read_after_end_of_admission_is_rejected (the connection was closed, status 0 instead of 503) and gateway_after_end_of_admission_takes_no_requests (the idle connection stayed open, a new one was accepted).

--- a/packages/gateway/src/caller_connections.cpp
+++ b/packages/gateway/src/caller_connections.cpp
@@ -18,6 +18,12 @@
   }
 }
 
+void CallerConnections::closeIdle() const {
+  for (CallerConnection *it : Open) {
+    it->closeIfIdle();
+  }
+}
+
 Duration CallerConnections::idleTimeout(Duration configured) const {
   if (Open.size() >= KeepAliveLimit) {
     return std::min<Duration>(MinIdleTimeout, configured);
--- a/packages/gateway/src/caller_connections.h
+++ b/packages/gateway/src/caller_connections.h
@@ -14,6 +14,9 @@
   /// Ends the request that targets serve at present: it gets a response of the
   /// router, or its stream ends incomplete.
   virtual void endRequest() = 0;
+  /// Closes the connection unless a request is being served or has begun to
+  /// arrive.
+  virtual void closeIfIdle() = 0;
 
 protected:
   ~CallerConnection() = default;
@@ -31,6 +34,8 @@
   void add(CallerConnection &connection) { Open.insert(&connection); }
   void remove(CallerConnection &connection) { Open.erase(&connection); }
   void endRequests() const;
+  void closeIdle() const;
+  std::size_t size() const { return Open.size(); }
   /// Whether a connection may stay open after its response.
   bool mayKeepAlive() const { return Open.size() < KeepAliveLimit; }
   /// Time to wait for the next request on a connection: `configured`, reduced
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -51,6 +51,7 @@
 
 void CallerListener::stop() {
   Stopped = true;
+  acceptPending(bootTimeNow());
   boost::system::error_code ec;
   Acceptor.close(ec);
 }
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -45,6 +45,7 @@
 
   asio::awaitable<void> run();
   void endRequest() override;
+  void closeIfIdle() override;
 
 private:
   using Parser = http::request_parser<http::string_body>;
@@ -94,6 +95,8 @@
   /// ignored.
   std::uint64_t TimerGeneration = 0;
   bool WatchingCaller = false;
+  /// No byte of the next request has been read.
+  bool AwaitsRequest = false;
   /// Reset when the coroutine ends; pending handlers hold a weak pointer and
   /// must not touch the session after that.
   std::shared_ptr<bool> LifetimeToken = std::make_shared<bool>();
@@ -131,6 +134,13 @@
   }
 }
 
+void Session::closeIfIdle() {
+  boost::system::error_code ec;
+  if (AwaitsRequest && CallerSocket.available(ec) == 0) {
+    CallerSocket.close(ec);
+  }
+}
+
 void Session::watchCaller() {
   if (WatchingCaller) {
     return;
@@ -168,16 +178,16 @@
   const auto token = [&ec] {
     return asio::redirect_error(asio::use_awaitable, ec);
   };
-  bool started = ReadBuffer.size() > 0;
-  armTimer(started ? Duration(limits.HeaderTimeout)
-                   : Context.Callers.idleTimeout(limits.IdleTimeout),
+  AwaitsRequest = ReadBuffer.size() == 0;
+  armTimer(AwaitsRequest ? Context.Callers.idleTimeout(limits.IdleTimeout)
+                         : Duration(limits.HeaderTimeout),
            CancelCause::TimeLimit);
   while (!ec && !parser.is_header_done()) {
     co_await http::async_read_some(CallerSocket, ReadBuffer, parser, token());
-    if (!ec && !started && !parser.is_header_done()) {
-      started = true;
+    if (!ec && AwaitsRequest && !parser.is_header_done()) {
       armTimer(limits.HeaderTimeout, CancelCause::TimeLimit);
     }
+    AwaitsRequest = false;
   }
   if (!ec && parser.get()[http::field::expect] == "100-continue") {
     constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -17,7 +17,10 @@
 
 namespace {
 
-constexpr milliseconds IdleCheckInterval{20};
+constexpr milliseconds StopCheckInterval{20};
+/// Time for the first request on a connection that was just accepted when the
+/// listening socket is closed.
+constexpr milliseconds FirstRequestDelay{100};
 /// Interval of the timers by which the event loop's lag is measured.
 constexpr milliseconds LagProbeInterval{50};
 /// Shortest time between two log lines about paused listening.
@@ -187,24 +190,28 @@
 asio::awaitable<void> TrafficServer::runStop(routing::StopSchedule schedule,
                                              std::function<void()> onStopped) {
   co_await sleepFor(Io, schedule.admissionEnd() - bootTimeNow());
-  while (Context.RequestsInFlight > 0 &&
-         bootTimeNow() < schedule.requestEnd()) {
-    co_await sleepFor(Io, IdleCheckInterval);
-  }
-  if (Context.RequestsInFlight > 0) {
-    logLine("process", "requests_ended",
-            {{"open", std::to_string(Context.RequestsInFlight)}});
-    Context.Callers.endRequests();
-  }
-  while (Context.RequestsInFlight > 0 &&
-         bootTimeNow() < schedule.processEnd()) {
-    co_await sleepFor(Io, IdleCheckInterval);
+  // Callers whose connection is refused try another router at once.
+  Listener.stop();
+  co_await sleepFor(Io, FirstRequestDelay);
+  bool ended = false;
+  while (Context.Callers.size() > 0 && bootTimeNow() < schedule.processEnd()) {
+    Context.Callers.closeIdle();
+    const bool atEnd = bootTimeNow() >= schedule.requestEnd();
+    if (atEnd && !ended) {
+      logLine("process", "requests_ended",
+              {{"open", std::to_string(Context.RequestsInFlight)}});
+    }
+    ended = atEnd;
+    if (ended) {
+      Context.Callers.endRequests();
+    }
+    co_await sleepFor(Io, StopCheckInterval);
   }
-  if (Context.RequestsInFlight > 0) {
-    logLine("process", "requests_cut",
-            {{"open", std::to_string(Context.RequestsInFlight)}});
+  if (Context.Callers.size() > 0) {
+    logLine("process", "connections_cut",
+            {{"open", std::to_string(Context.Callers.size())},
+             {"requests", std::to_string(Context.RequestsInFlight)}});
   }
-  Listener.stop();
   onStopped();
 }
 
--- a/packages/gateway/test/gateway_stop_test.cpp
+++ b/packages/gateway/test/gateway_stop_test.cpp
@@ -96,4 +96,41 @@
   CHECK(!Response.Complete);
 }
 
+// Guards against an exit while requests are being read.
+TEST_CASE_METHOD(GatewayStopFixture,
+                 "gateway_request_read_after_end_of_admission_is_rejected") {
+  startRouter();
+  RawCaller caller(Routers[0].CallerAddress);
+  caller.write("POST /buy/a HTTP/1.1\r\nHost: models.example\r\n"
+               "Request-Id: slow\r\nContent-Length: 8\r\n\r\nhalf");
+  signalStop();
+  sleepUntilAfterSignal(3'200);
+  const RawResponse response = caller.exchange("rest");
+  CHECK(response.Complete);
+  CHECK(response.Status == 503);
+  CHECK(response.headerField("Connection") == "close");
+  CHECK(receivedRequests().empty());
+  CHECK(exitCodeWithinGrace() == 0);
+}
+
+// Guards against callers that send requests which the exit then cuts.
+TEST_CASE_METHOD(GatewayStopFixture,
+                 "gateway_after_end_of_admission_takes_no_requests") {
+  startRouter();
+  RawCaller idle(Routers[0].CallerAddress);
+  RawRequest request;
+  request.Path = "/safe/a";
+  request.RequestId = "first";
+  REQUIRE(idle.send(request).Status == 200);
+  FirstTarget->setEventPause(std::chrono::milliseconds(400));
+  SecondTarget->setEventPause(std::chrono::milliseconds(400));
+  signalStop();
+  sleepUntilAfterSignal(1'800);
+  sendInBackground("/stream/whole/a");
+  sleepUntilAfterSignal(3'300);
+  CHECK(idle.isClosedWithin(std::chrono::milliseconds(0)));
+  CHECK(!RawCaller(Routers[0].CallerAddress).isConnected());
+  CHECK(exitCodeWithinGrace() == 0);
+}
+
 } // namespace nutmegsill::standin
--- a/packages/standins/src/raw_caller.cpp
+++ b/packages/standins/src/raw_caller.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <poll.h>
 
 namespace nutmegsill::standin {
 
@@ -54,6 +55,24 @@
   return response;
 }
 
+void RawCaller::write(const std::string &bytes) {
+  boost::system::error_code ec;
+  asio::write(Impl->Stream.socket(), asio::buffer(bytes), ec);
+}
+
+bool RawCaller::isClosedWithin(std::chrono::milliseconds timeout) {
+  pollfd polled{Impl->Stream.socket().native_handle(), POLLIN, 0};
+  char next = 0;
+  return ::poll(&polled, 1, static_cast<int>(timeout.count())) == 1 &&
+         ::recv(polled.fd, &next, 1, MSG_PEEK) <= 0;
+}
+
+bool RawCaller::isConnected() const {
+  boost::system::error_code ec;
+  Impl->Stream.socket().remote_endpoint(ec);
+  return !ec;
+}
+
 void RawCaller::sendAndClose(const std::string &bytes) {
   boost::system::error_code ec;
   asio::write(Impl->Stream.socket(), asio::buffer(bytes), ec);
--- a/packages/standins/src/raw_caller.h
+++ b/packages/standins/src/raw_caller.h
@@ -2,6 +2,7 @@
 /// Test-only.
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -46,6 +47,13 @@
   RawResponse send(const RawRequest &request);
   /// Sends bytes unchanged and reads one response.
   RawResponse exchange(const std::string &bytes);
+  /// Sends bytes without waiting for a response.
+  void write(const std::string &bytes);
+  /// Whether the router closes the connection within `timeout` without sending
+  /// anything.
+  bool isClosedWithin(std::chrono::milliseconds timeout);
+  /// Whether the connection was established.
+  bool isConnected() const;
   /// Sends bytes and closes the connection without reading a response.
   void sendAndClose(const std::string &bytes);
 
