Reject requests that the grace period is too short for

A request that came late in the admission time was taken whatever it takes, and its target was told the caller's whole deadline: it went on for a caller that was cut.

While the process stops, a request is rejected at once (503, not run) if the longest of the last requests of its route would not end in time, so that the caller goes to another router; the time limit of an admitted one, and with it the deadline for its target, ends with the grace period.

--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -283,7 +283,16 @@
           std::get_if<LocalResponse>(&admitted)) {
     return *localResponse;
   }
-  request.Admitted = std::get<Admission>(std::move(admitted));
+  Admission &admission = std::get<Admission>(admitted);
+  if (stop) {
+    if (!stop->admits(Context.Durations.expected(admission.Route->Name), now)) {
+      Writer.disableKeepAlive();
+      return LocalResponse{503, "stopping", Duration{0}};
+    }
+    admission.TimeLimit =
+        std::min(admission.TimeLimit, stop->requestEnd() - now);
+  }
+  request.Admitted = std::move(admission);
   request.Lifecycle.emplace(*request.Admitted, request.Head.Prompt, now);
   return std::nullopt;
 }
@@ -503,6 +512,10 @@
     recordEnd(request, "caller_left", 0, outcome.Reason);
     co_return;
   }
+  if (outcome.Result == ExchangeResult::Completed) {
+    Context.Durations.record(request.Admitted->Route->Name,
+                             bootTimeNow() - request.ArrivedAt);
+  }
   if (Writer.hasFinished()) {
     recordEnd(request, "complete", 200, outcome.Reason);
     co_return;
--- a/packages/gateway/src/traffic_server.h
+++ b/packages/gateway/src/traffic_server.h
@@ -35,6 +35,7 @@
   BufferBudget ResponseBuffers;
   CallerConnections Callers;
   routing::HostOverload Overload;
+  routing::RouteDurations Durations;
   std::size_t RequestsInFlight = 0;
   std::shared_ptr<const routing::FleetView> View;
 
--- a/packages/gateway/test/gateway_stop_test.cpp
+++ b/packages/gateway/test/gateway_stop_test.cpp
@@ -81,6 +81,32 @@
   CHECK(Response.headerField("Connection") == "close");
 }
 
+TEST_CASE_METHOD(GatewayStopFixture,
+                 "gateway_deadline_of_request_is_within_grace") {
+  StopGraceS = 4;
+  startRouter();
+  signalStop();
+  sleepUntilAfterSignal(1'200);
+  CHECK(sendRequest("/buy/a", "id-1").Status == 200);
+  REQUIRE(receivedRequests().size() == 1);
+  CHECK(receivedRequests()[0].DeadlineMs <= 4'000 - 1'200);
+}
+
+// Guards against requests that are taken although the grace is too short.
+TEST_CASE_METHOD(GatewayStopFixture,
+                 "gateway_request_that_outlasts_grace_is_rejected_at_once") {
+  StopGraceS = 4;
+  startRouter();
+  FirstTarget->setEventPause(std::chrono::milliseconds(330));
+  SecondTarget->setEventPause(std::chrono::milliseconds(330));
+  REQUIRE(sendRequest("/stream/whole/a", "id-1").Complete);
+  signalStop();
+  sleepUntilAfterSignal(1'200);
+  CHECK(sendRequest("/stream/whole/a", "id-2").Status == 503);
+  CHECK(sendRequest("/safe/a", "id-3").Status == 200);
+  CHECK(receivedRequests().size() == 2);
+}
+
 TEST_CASE_METHOD(GatewayStopFixture,
                  "gateway_stream_at_end_of_grace_ends_incomplete") {
   StopGraceS = 4;
--- a/packages/routing/include/nutmegsill/routing/stop_schedule.h
+++ b/packages/routing/include/nutmegsill/routing/stop_schedule.h
@@ -3,6 +3,10 @@
 
 #include "nutmegsill/types.h"
 
+#include <deque>
+#include <map>
+#include <string>
+
 namespace nutmegsill::routing {
 
 /// When a router that was asked to stop ends each kind of work. All times count
@@ -20,6 +24,10 @@
   Time requestEnd() const { return RequestEnd; }
   /// Latest time at which the process ends.
   Time processEnd() const { return ProcessEnd; }
+  /// Whether a request that takes `expected` can be served.
+  bool admits(Duration expected, Time now) const {
+    return now < AdmissionEnd && now + expected <= RequestEnd;
+  }
 
 private:
   Time AdmissionEnd;
@@ -27,4 +35,16 @@
   Time ProcessEnd;
 };
 
+/// How long the requests of each route take. Not thread-safe.
+class RouteDurations {
+public:
+  /// Records a request that was served completely.
+  void record(const std::string &route, Duration duration);
+  /// The longest of the last few requests of `route`; 0 if there are none.
+  Duration expected(const std::string &route) const;
+
+private:
+  std::map<std::string, std::deque<Duration>> Latest;
+};
+
 } // namespace nutmegsill::routing
--- a/packages/routing/test/stop_schedule_test.cpp
+++ b/packages/routing/test/stop_schedule_test.cpp
@@ -26,4 +26,21 @@
   CHECK(schedule.admissionEnd() < at(3'000));
 }
 
+TEST_CASE_METHOD(StopScheduleFixture,
+                 "stop_schedule_request_that_outlasts_grace_is_not_admitted") {
+  const StopSchedule schedule(at(0), std::chrono::seconds(8));
+  RouteDurations durations;
+  CHECK(schedule.admits(durations.expected("new"), at(2'800)));
+  for (const int ms : {200, 5'000, 300}) {
+    durations.record("long", milliseconds(ms));
+  }
+  CHECK(schedule.admits(durations.expected("long"), at(2'000)));
+  CHECK(!schedule.admits(durations.expected("long"), at(2'800)));
+  for (int i = 0; i < 50; ++i) {
+    durations.record("long", milliseconds(300));
+  }
+  CHECK(schedule.admits(durations.expected("long"), at(2'800)));
+  CHECK(!schedule.admits(Duration{0}, schedule.admissionEnd()));
+}
+
 } // namespace nutmegsill::routing
