End the lease of a registration in progress when the process stops

The lease was known only once the entry was written. A stop during a registration ended nothing; a write that the store executed late then listed a router that had ended, for the rest of the TTL. A renewal in progress could register the router anew after its stop.

One coroutine now renews, writes and ends; the lease is held from its grant, and a stop ends it after the call in progress, again and again while the store is away. An attempt after a failed write renews the lease instead of having a second one granted.

gateway_stop_while_registering_leaves_no_entry failed before: the entry appeared after the stop.

--- a/packages/gateway/src/registration.h
+++ b/packages/gateway/src/registration.h
@@ -3,6 +3,8 @@
 
 #include "store_watcher.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <optional>
 
 namespace nutmegsill::gateway {
@@ -15,15 +17,18 @@
                routing::RouterEntry ownEntry, milliseconds minLeaseTtl);
 
   void start();
-  /// Stops renewals and ends the lease, with which the store removes the
-  /// entry.
+  /// Ends the lease, with which the store removes the entry, once the call in
+  /// progress is answered.
   void stop();
 
 private:
   boost::asio::awaitable<void> keepRegistered();
-  boost::asio::awaitable<bool> registerRouter();
+  boost::asio::awaitable<bool> holdLease();
   boost::asio::awaitable<bool> renewLease();
+  boost::asio::awaitable<bool> writeEntry();
   boost::asio::awaitable<void> endLease();
+  /// Sleeps until `stop` at most.
+  boost::asio::awaitable<void> pause(Duration duration);
   /// `cause` is logged.
   void forgetLease(const char *cause);
 
@@ -31,7 +36,10 @@
   StoreWatcher &Watcher;
   routing::RouterEntry OwnEntry;
   milliseconds LeaseTtl;
+  boost::asio::steady_timer PauseTimer;
+  /// Its TTL runs; an entry may be bound to it although no response arrived.
   std::optional<platform::Lease> HeldLease;
+  bool EntryWritten = false;
   /// Revision of the entry in the store; 0 without an entry.
   routing::StoreRevision EntryRevision;
   bool Stopped = false;
--- a/packages/gateway/test/gateway_stop_test.cpp
+++ b/packages/gateway/test/gateway_stop_test.cpp
@@ -159,4 +159,23 @@
   CHECK(exitCodeWithinGrace() == 0);
 }
 
+// Guards against a write in progress that lists a router that has stopped.
+TEST_CASE_METHOD(GatewayStopFixture,
+                 "gateway_stop_while_registering_leaves_no_entry") {
+  Store->delayNextWrites(100);
+  startRouter();
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  signalStop();
+  sleepUntilAfterSignal(1'500);
+  bool listed = false;
+  waitUntil(
+      [&] {
+        listed =
+            listed || !Store->keysWithPrefix("nutmegsill/routers/").empty();
+        return listed;
+      },
+      std::chrono::seconds(4));
+  CHECK(!listed);
+}
+
 } // namespace nutmegsill::standin
