--- a/packages/gateway/src/main.cpp
+++ b/packages/gateway/src/main.cpp
@@ -59,6 +59,8 @@
   for (const int number : {SIGTERM, SIGINT}) {
     std::signal(number, [](int) { std::_Exit(0); });
   }
+  // The settings are read after this.
+  std::signal(SIGHUP, SIG_IGN);
   cxxopts::Options options(
       "nutmegsill-router",
       "Routes requests to targets and shares their capacity among teams");
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -204,4 +204,20 @@
   ::close(fd);
 }
 
+// Guards against a reload signal that ends a starting process.
+TEST_CASE_METHOD(GatewayFixture,
+                 "gateway_reload_signal_while_starting_is_ignored") {
+  const std::string path = TempDir + "/starting.json";
+  REQUIRE(::mkfifo(path.c_str(), 0600) == 0);
+  Process starting(RouterProgram, {"--settings", path},
+                   TempDir + "/starting.log");
+  const int fd = ::open(path.c_str(), O_WRONLY);
+  REQUIRE(fd >= 0);
+  starting.signal(SIGHUP);
+  CHECK(!starting.wait(std::chrono::milliseconds(500)));
+  starting.signal(SIGTERM);
+  CHECK(starting.wait(std::chrono::seconds(5)) == 0);
+  ::close(fd);
+}
+
 } // namespace nutmegsill::standin
