End the process without waiting for its metrics server

A process ended up to two seconds after it had logged "stopped": its metrics server looks that often whether it has to stop. Processes with requests in flight at the end of the grace period were killed for it.

The end of the process now takes the server along.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -56,7 +56,7 @@
     stopLog();
     return ExitFailure;
   };
-  const std::unique_ptr<Metrics> metrics =
+  std::unique_ptr<Metrics> metrics =
       Metrics::start(settings.MetricsAddress, reason);
   if (!metrics) {
     return fail("metrics");
@@ -89,6 +89,9 @@
            {"zone", settings.Zone.Text}});
   control->run();
   logLine("process", "stopped", {});
+  // Its server takes up to two seconds to stop; the end of the process stops
+  // it at once.
+  static_cast<void>(metrics.release());
   stopLog();
   return 0;
 }
--- a/packages/gateway/test/gateway_stop_test.cpp
+++ b/packages/gateway/test/gateway_stop_test.cpp
@@ -65,6 +65,24 @@
   CHECK(exitCodeWithinGrace() == 0);
 }
 
+// Guards against a wait for the metrics server after everything has ended.
+TEST_CASE_METHOD(GatewayStopFixture,
+                 "gateway_stop_without_requests_ends_at_end_of_admission") {
+  StopGraceS = 2;
+  for (int i = 0; i < 4; ++i) {
+    startRouter();
+    std::this_thread::sleep_for(std::chrono::milliseconds(450));
+  }
+  signalStop();
+  for (std::size_t i = 1; i < RouterProcesses.size(); ++i) {
+    RouterProcesses[i].signal(SIGTERM);
+  }
+  sleepUntilAfterSignal(1'500);
+  for (Process &it : RouterProcesses) {
+    CHECK(it.wait(std::chrono::milliseconds(0)) == 0);
+  }
+}
+
 // Guards against requests that are closed without a response.
 TEST_CASE_METHOD(GatewayStopFixture,
                  "gateway_request_at_end_of_grace_is_answered") {
