--- a/packages/soak/src/soak_checks.cpp
+++ b/packages/soak/src/soak_checks.cpp
@@ -1,5 +1,7 @@
 #include "soak_checks.h"
 
+#include <algorithm>
+
 namespace nutmegsill::soak {
 
 using standin::TargetStandin;
@@ -23,6 +25,16 @@
   return status == 503 || status == 429 || status == 401 || status == 404;
 }
 
+/// The call ended while its router stopped as planned.
+bool endedInPlannedStop(const CallRecord &call, const FaultLog &faults) {
+  return std::any_of(faults.PlannedStops.begin(), faults.PlannedStops.end(),
+                     [&](const FaultLog::PlannedStop &it) {
+                       return it.RouterAddress == call.RouterAddress &&
+                              call.EndedAt > it.SignalledAt &&
+                              call.EndedAt <= it.EndedBy;
+                     });
+}
+
 } // namespace
 
 std::vector<std::string> checkInvariants(SoakFleet &fleet,
@@ -53,6 +65,9 @@
     if (statesNotRun(status) && runs > 0) {
       violations.push_back(callText + " was reported as not run but ran");
     }
+    if (status == 0 && runs > 0 && endedInPlannedStop(it, faults)) {
+      violations.push_back(callText + " ran and was closed by a planned stop");
+    }
     if (it.StartedAt >= recoveredAt) {
       callsAfterRecovery += 1;
       servedAfterRecovery += status == 200 ? 1 : 0;
--- a/packages/soak/src/soak_faults.cpp
+++ b/packages/soak/src/soak_faults.cpp
@@ -152,6 +152,9 @@
                 name + (code ? " exited with code " + std::to_string(*code)
                              : " was still running"));
             Fleet.killRouter(router);
+          } else {
+            Log.PlannedStops.push_back(
+                {Fleet.routerAddress(router), signalledAt, now()});
           }
           restart(router, name);
         }};
--- a/packages/soak/src/soak_faults.h
+++ b/packages/soak/src/soak_faults.h
@@ -20,6 +20,13 @@
   /// Times at which the temporary API key was removed and restored; the second
   /// is empty while the key is removed.
   std::vector<std::pair<SoakTime, std::optional<SoakTime>>> KeyRemovals;
+  /// A router's stop by SIGTERM; it ended at some time in between.
+  struct PlannedStop {
+    std::string RouterAddress;
+    SoakTime SignalledAt;
+    SoakTime EndedBy;
+  };
+  std::vector<PlannedStop> PlannedStops;
   /// One line for each router that did not exit with code 0 after SIGTERM.
   std::vector<std::string> UncleanStops;
 };
--- a/packages/soak/src/soak_fleet.h
+++ b/packages/soak/src/soak_fleet.h
@@ -23,6 +23,10 @@
   /// Directory of the routers' settings and logs.
   const std::string &tempDir() const { return Fleet.TempDir; }
   std::size_t routerCount() const { return Fleet.Routers.size(); }
+  /// Address of a router for callers.
+  const std::string &routerAddress(std::size_t router) const {
+    return Fleet.Routers[router].CallerAddress;
+  }
   /// Caller addresses that the directory of `router` returns; empty when it
   /// returns none.
   std::vector<std::string> resolveRouters(std::size_t router);
