--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -123,6 +123,9 @@
   } else if (cause == CancelCause::TimeLimit) {
     // No request is in flight: the caller was idle or sent its request too
     // slowly.
+    if (!AwaitsRequest) {
+      logLine("callers", "request_not_read", {{"reason", "time limit"}});
+    }
     boost::system::error_code ec;
     CallerSocket.close(ec);
   }
