--- /dev/null
+++ b/packages/gateway/test/gateway_lost_requests_test.cpp
@@ -0,0 +1,133 @@
+// Requests that were read and must get an answer.
+#include "gateway_fixture.h"
+#include "raw_target.h"
+
+#include <boost/asio.hpp>
+#include <csignal>
+#include <thread>
+
+namespace nutmegsill::standin {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+class GatewayLostRequestsFixture : protected GatewayFixture {
+protected:
+  using Script = RawTarget::Script;
+
+  /// Replaces both targets by one with a script.
+  RawTarget &useRawTarget(Script script) {
+    Scripted =
+        std::make_unique<RawTarget>(freeLoopbackAddress(), std::move(script));
+    writeTargetEntry(*FirstTarget, "ready", Scripted->address());
+    Store->erase("servers/" + SecondTarget->id());
+    return *Scripted;
+  }
+  /// Changes a number in the operators' configuration.
+  void setLimit(const std::string &name, int value) {
+    std::string text = configText(4);
+    const std::string field = "\"" + name + "\":";
+    const std::size_t begin = text.find(field) + field.size();
+    const std::size_t end = text.find_first_of(",}", begin);
+    text.replace(begin, end - begin, std::to_string(value));
+    writeConfig(text);
+  }
+  static std::string postText(const std::string &path, const std::string &id,
+                              std::size_t bodyBytes) {
+    return "POST " + path +
+           " HTTP/1.1\r\nHost: models.example\r\nRequest-Id: " + id +
+           "\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" +
+           std::string(bodyBytes, 'x');
+  }
+  RawResponse exchange(const std::string &text) {
+    return RawCaller(Routers.front().CallerAddress).exchange(text);
+  }
+
+  std::unique_ptr<RawTarget> Scripted;
+};
+
+TEST_CASE_METHOD(GatewayLostRequestsFixture,
+                 "gateway_target_silent_for_a_second_is_awaited") {
+  const bool inStream = GENERATE(false, true);
+  const milliseconds silence{1'300};
+  const Script script =
+      [inStream,
+       silence](RawTargetConnection &connection) -> asio::awaitable<void> {
+    if (!inStream) {
+      co_await connection.sleep(silence);
+    }
+    std::string text = connection.head("200 OK") +
+                       "Content-Type: text/event-stream\r\n"
+                       "Content-Length: 32\r\n\r\nid: 1\ndata: x\n\n";
+    co_await connection.send(std::move(text));
+    if (inStream) {
+      co_await connection.sleep(silence);
+    }
+    co_await connection.send("id: 2\ndata: yyy\n\n");
+  };
+  RawTarget &target = useRawTarget(script);
+  startRouter();
+  int sent = 0;
+  for (const char *path :
+       {"/buy/a", "/safe/a", "/stream/whole/a", "/stream/resumed/a"}) {
+    const RawResponse response =
+        sendRequest(path, "id-" + std::to_string(++sent));
+    CAPTURE(inStream, path);
+    CHECK(response.Status == 200);
+    CHECK(response.Complete);
+    CHECK(target.requestCount() == sent);
+  }
+}
+
+class GatewayFrozenFixture : protected GatewayLostRequestsFixture {
+protected:
+  /// Sends a request and suspends the router for `span` from 150 ms later.
+  RawResponse sendAndFreeze(const std::string &path, milliseconds span) {
+    RawResponse response;
+    std::thread caller([&] { response = sendRequest(path, "id-1"); });
+    std::this_thread::sleep_for(milliseconds(150));
+    RouterProcesses[0].signal(SIGSTOP);
+    std::this_thread::sleep_for(span);
+    RouterProcesses[0].signal(SIGCONT);
+    caller.join();
+    return response;
+  }
+};
+
+// Guards against an idle timer that closes connections on which a request has
+// arrived while the router did not run.
+TEST_CASE_METHOD(GatewayFrozenFixture,
+                 "gateway_requests_received_while_frozen_are_answered") {
+  constexpr int connections = 300;
+  setLimit("idle-timeout-ms", 1'500);
+  startRouter();
+  asio::io_context io;
+  const std::size_t colon = Routers[0].CallerAddress.find(':');
+  const asio::ip::tcp::endpoint address(
+      asio::ip::make_address(Routers[0].CallerAddress.substr(0, colon)),
+      static_cast<unsigned short>(
+          std::stoi(Routers[0].CallerAddress.substr(colon + 1))));
+  std::vector<asio::ip::tcp::socket> callers;
+  for (int i = 0; i < connections; ++i) {
+    callers.emplace_back(io);
+    callers.back().connect(address);
+  }
+  std::this_thread::sleep_for(milliseconds(200));
+  RouterProcesses[0].signal(SIGSTOP);
+  for (int i = 0; i < connections; ++i) {
+    const std::string text = postText("/buy/a", "id-" + std::to_string(i), 4);
+    asio::write(callers[static_cast<std::size_t>(i)], asio::buffer(text));
+  }
+  std::this_thread::sleep_for(milliseconds(1'600));
+  RouterProcesses[0].signal(SIGCONT);
+  int answered = 0;
+  for (asio::ip::tcp::socket &it : callers) {
+    std::string text;
+    boost::system::error_code ec;
+    asio::read_until(it, asio::dynamic_buffer(text), "\r\n\r\n", ec);
+    answered += ec ? 0 : 1;
+  }
+  CHECK(answered == connections);
+}
+
+} // namespace nutmegsill::standin
