Limit headers of callers to what the HTTP library takes

Beast throws std::length_error at a field of 64 KB. If the configuration allows such headers, one request ended the process and all requests on it. The limit is the lower of the two now, and the caller gets 431. Before, the test's request and the one after it got no response.

--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -34,6 +34,9 @@
 /// Bytes of a caller that are read ahead of the parser; the operators' limit
 /// for headers is lower.
 constexpr std::size_t MaxCallerBufferBytes = 128U << 10U;
+/// Longest header that is accepted, whatever the configuration says: the HTTP
+/// library throws at fields of 64 KB.
+constexpr std::uint32_t MaxCallerHeaderBytes = 64U << 10U;
 /// Why a request was cancelled before its response was complete.
 enum class CancelCause { None, CallerDisconnected, TimeLimit, AttemptTimeout };
 
@@ -175,7 +178,7 @@
       Context.refreshView(bootTimeNow());
   const routing::CallerLimits limits =
       view ? view->Config->Limits : routing::CallerLimits();
-  parser.header_limit(limits.MaxHeaderBytes);
+  parser.header_limit(std::min(limits.MaxHeaderBytes, MaxCallerHeaderBytes));
   parser.body_limit(limits.MaxBodyBytes);
   boost::system::error_code ec;
   const auto token = [&ec] {
--- a/packages/gateway/test/gateway_lost_requests_test.cpp
+++ b/packages/gateway/test/gateway_lost_requests_test.cpp
@@ -46,6 +46,18 @@
   std::unique_ptr<RawTarget> Scripted;
 };
 
+TEST_CASE_METHOD(GatewayLostRequestsFixture,
+                 "gateway_field_longer_than_64_kb_does_not_end_process") {
+  setLimit("max-header-bytes", 120'000);
+  startRouter();
+  RawRequest request;
+  request.Path = "/buy/a";
+  request.RequestId = "id-1";
+  request.ExtraHeaderFields = "X-Long: " + std::string(70'000, 'x') + "\r\n";
+  CHECK(RawCaller(Routers[0].CallerAddress).send(request).Status == 431);
+  CHECK(sendRequest("/buy/a", "id-2").Status == 200);
+}
+
 TEST_CASE_METHOD(GatewayLostRequestsFixture,
                  "gateway_target_silent_for_a_second_is_awaited") {
   const bool inStream = GENERATE(false, true);
