Resume no stream by an event id that fits no header

The id of the last event becomes a header field of the request that resumes the stream. A faulty target's id of 64 KB made the HTTP library throw, which ended the process; control characters in it went into the request. Ids over 1 KB, or with control characters, now count as none, so that the stream breaks off. Before, the test's router no longer answered after such a stream.

--- a/packages/gateway/test/gateway_lost_requests_test.cpp
+++ b/packages/gateway/test/gateway_lost_requests_test.cpp
@@ -58,6 +58,30 @@
   CHECK(sendRequest("/buy/a", "id-2").Status == 200);
 }
 
+TEST_CASE_METHOD(GatewayLostRequestsFixture,
+                 "gateway_long_event_id_does_not_end_process") {
+  const Script script =
+      [](RawTargetConnection &connection) -> asio::awaitable<void> {
+    std::string text = connection.head("200 OK") +
+                       "Content-Type: text/event-stream\r\n\r\nid: " +
+                       std::string(65'500, '1');
+    co_await connection.send(std::move(text));
+    co_await connection.sleep(milliseconds(50));
+    co_await connection.send(std::string(200, '1') + "\n\nid: 2\nda");
+    co_await connection.sleep(milliseconds(50));
+    connection.close();
+  };
+  useRawTarget(script);
+  startRouter();
+  writeTargetEntry(*SecondTarget);
+  std::this_thread::sleep_for(milliseconds(500));
+  for (int i = 0; i < 6; ++i) {
+    sendRequest("/stream/resumed/a", "id-" + std::to_string(i));
+  }
+  CHECK(sendRequest("/buy/a", "after").Status != 0);
+  CHECK(Scripted->requestCount() > 0);
+}
+
 TEST_CASE_METHOD(GatewayLostRequestsFixture,
                  "gateway_target_silent_for_a_second_is_awaited") {
   const bool inStream = GENERATE(false, true);
--- a/packages/routing/include/nutmegsill/routing/event_stream_buffer.h
+++ b/packages/routing/include/nutmegsill/routing/event_stream_buffer.h
@@ -38,7 +38,8 @@
     Pending.clear();
     Boundary.reset();
   }
-  /// Id of the last complete event that had one; empty before the first.
+  /// Id of the last complete event that had one; empty before the first, and
+  /// if the id cannot be sent in a header.
   const std::string &lastEventId() const { return LastEventId; }
 
 private:
--- a/packages/routing/src/event_stream_buffer.cpp
+++ b/packages/routing/src/event_stream_buffer.cpp
@@ -1,7 +1,25 @@
 #include "nutmegsill/routing/event_stream_buffer.h"
 
+#include <algorithm>
+
 namespace nutmegsill::routing {
 
+namespace {
+
+/// Longest id by which a stream is resumed.
+constexpr std::size_t MaxEventIdBytes = 1'024;
+
+/// Whether an id can be sent as the value of a header field.
+bool mayNameEvent(std::string_view id) {
+  return id.size() <= MaxEventIdBytes &&
+         std::none_of(id.begin(), id.end(), [](char c) {
+           const auto byte = static_cast<unsigned char>(c);
+           return byte < ' ' || byte == 0x7f;
+         });
+}
+
+} // namespace
+
 std::optional<std::size_t> EventBoundary::append(std::string_view part) {
   std::optional<std::size_t> end;
   for (std::size_t i = 0; i < part.size(); ++i) {
@@ -59,7 +77,11 @@
     if (!line.empty() && line.back() == '\r') {
       line.remove_suffix(1);
     }
-    LastEventId.assign(line);
+    if (mayNameEvent(line)) {
+      LastEventId.assign(line);
+    } else {
+      LastEventId.clear();
+    }
   }
 }
 
--- a/packages/routing/test/shares_test.cpp
+++ b/packages/routing/test/shares_test.cpp
@@ -96,6 +96,19 @@
   CHECK(events.lastEventId() == "4");
 }
 
+// Guards against a router that ended when it resumed a stream by such an id.
+TEST_CASE("event_stream_buffer_id_that_fits_no_header_is_dropped") {
+  for (const std::string &id :
+       {std::string(70'000, '1'), std::string("1\r2"), std::string(1, '\0')}) {
+    EventStreamBuffer events;
+    const std::string text = "id: 1\n\nid: " + id + "\n\n";
+    CHECK(events.append(text) == text);
+    CHECK(events.lastEventId() == "");
+    events.append("id: 3\n\n");
+    CHECK(events.lastEventId() == "3");
+  }
+}
+
 TEST_CASE("event_stream_buffer_any_split_returns_same_bytes") {
   const std::string whole =
       "id: 1\ndata: a\n\nid:2\r\ndata: b\n\n: note\n\nid: 3\ndata: c\n\nrest";
