Await the response while the request is being sent

A target may refuse a request, or answer it, before it has read the body. The response was read only after the request had been sent whole: if the target closed, sending failed and the refusal was lost (502 for a request that did not run); if it kept the connection and did not read on, the request waited for its deadline (504 after 3.1 s). The test got these statuses before, and gets the 503 now. A connection on which bytes of the request are left is closed.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -102,19 +102,32 @@
   co_return true;
 }
 
-asio::awaitable<bool> Exchange::send() {
-  boost::system::error_code ec;
+void Exchange::startSending() {
   const std::array<asio::const_buffer, 2> parts{
       asio::buffer(Request.Head),
       asio::buffer(Request.Body.data(), Request.Body.size())};
   Request.OnConnected();
   Outcome.RequestSent = true;
-  co_await asio::async_write(*Connection, parts,
-                             asio::redirect_error(asio::use_awaitable, ec));
-  if (ec) {
-    fail(ExchangeResult::Broken, "cannot send the request: " + ec.message());
+  Sending = true;
+  SendingEnd.emplace(Connection->get_executor(),
+                     asio::steady_timer::time_point::max());
+  asio::async_write(*Connection, parts,
+                    [this](boost::system::error_code ec, std::size_t) {
+                      Sending = false;
+                      SendError = ec;
+                      SendingEnd->cancel();
+                    });
+}
+
+asio::awaitable<void> Exchange::stopSending() {
+  boost::system::error_code ec;
+  if (Sending) {
+    Connection->close(ec);
+  }
+  while (Sending) {
+    co_await SendingEnd->async_wait(
+        asio::redirect_error(asio::use_awaitable, ec));
   }
-  co_return !ec;
 }
 
 asio::awaitable<bool> Exchange::readHead(ResponseReader &reader) {
@@ -129,7 +142,8 @@
         asio::redirect_error(asio::use_awaitable, ec));
     if (ec) {
       fail(ExchangeResult::Broken,
-           "cannot read the response header: " + ec.message());
+           SendError ? "cannot send the request: " + SendError.message()
+                     : "cannot read the response header: " + ec.message());
       co_return false;
     }
     reader.Status = reader.Parser->get().result_int();
@@ -310,7 +324,7 @@
 
 void Exchange::releaseConnection(ResponseReader &reader) {
   const bool reusable =
-      reader.Parser && reader.Parser->is_done() &&
+      !Sending && !SendError && reader.Parser && reader.Parser->is_done() &&
       reader.Parser->get().keep_alive() && !reader.Parser->need_eof() &&
       reader.Buffer.size() == 0 && !reader.Head.RequestId.empty();
   if (!reusable || Aborted) {
@@ -333,10 +347,7 @@
   if (!connected) {
     co_return;
   }
-  const bool sent = co_await send();
-  if (!sent) {
-    co_return;
-  }
+  startSending();
   ResponseReader reader;
   const bool headReceived = co_await readHead(reader);
   if (!headReceived) {
@@ -376,6 +387,7 @@
 
 asio::awaitable<ExchangeOutcome> Exchange::run() {
   co_await transfer();
+  co_await stopSending();
   if (Request.ProbeLostTarget && Outcome.Result == ExchangeResult::Broken) {
     Connection.reset();
     co_await probeLostTarget();
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -8,6 +8,8 @@
 #include "response_writer.h"
 #include "target_connection_pool.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <functional>
 #include <optional>
 #include <string>
@@ -66,7 +68,12 @@
 private:
   struct ResponseReader;
   boost::asio::awaitable<bool> connect();
-  boost::asio::awaitable<bool> send();
+  /// Sends the request while the response is awaited: a target may respond
+  /// before it has read all of the request.
+  void startSending();
+  /// Closes the connection if bytes of the request are left, and waits until
+  /// none is being sent.
+  boost::asio::awaitable<void> stopSending();
   boost::asio::awaitable<bool> readHead(ResponseReader &reader);
   boost::asio::awaitable<bool>
   readBody(ResponseReader &reader, std::string &body, std::size_t maxBytes);
@@ -86,6 +93,10 @@
   routing::EventStreamBuffer *Events;
   routing::EventBoundary Boundary;
   std::optional<TargetConnectionPool::Socket> Connection;
+  bool Sending = false;
+  boost::system::error_code SendError;
+  /// Expires when `Sending` ends.
+  std::optional<boost::asio::steady_timer> SendingEnd;
   /// The connection has served an earlier request.
   bool IsReused = false;
   bool Aborted = false;
--- a/packages/gateway/test/gateway_lost_requests_test.cpp
+++ b/packages/gateway/test/gateway_lost_requests_test.cpp
@@ -82,6 +82,33 @@
   CHECK(Scripted->requestCount() > 0);
 }
 
+TEST_CASE_METHOD(GatewayLostRequestsFixture,
+                 "gateway_refusal_before_body_is_read_is_not_lost") {
+  const bool keepsConnection = GENERATE(false, true);
+  const Script script =
+      [keepsConnection](
+          RawTargetConnection &connection) -> asio::awaitable<void> {
+    std::string text = connection.head("503 Service Unavailable") +
+                       "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    co_await connection.send(std::move(text));
+    if (keepsConnection) {
+      co_await connection.sleep(milliseconds(10'000));
+    }
+    connection.close();
+  };
+  setLimit("max-body-bytes", 32 << 20);
+  useRawTarget(script);
+  startRouter();
+  for (int i = 0; i < 4; ++i) {
+    const auto begin = std::chrono::steady_clock::now();
+    const RawResponse response =
+        exchange(postText("/buy/a", "id-" + std::to_string(i), 16U << 20U));
+    CAPTURE(keepsConnection, i);
+    CHECK(response.Status == 503);
+    CHECK(std::chrono::steady_clock::now() - begin < milliseconds(2'000));
+  }
+}
+
 TEST_CASE_METHOD(GatewayLostRequestsFixture,
                  "gateway_target_silent_for_a_second_is_awaited") {
   const bool inStream = GENERATE(false, true);
