Read the rest of a rejected request before the connection is closed

The system resets a connection that is closed with unread bytes, so that callers in the middle of a body got an error instead of 413. What they still send is read and dropped for up to 2 s. The test got no response before.

--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -13,6 +13,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
+
 namespace nutmegsill::gateway {
 
 namespace asio = boost::asio;
@@ -37,8 +39,17 @@
 /// Longest header that is accepted, whatever the configuration says: the HTTP
 /// library throws at fields of 64 KB.
 constexpr std::uint32_t MaxCallerHeaderBytes = 64U << 10U;
+/// Time for which bytes of a rejected request are read and dropped.
+constexpr std::chrono::seconds MaxDrainTime{2};
+
 /// Why a request was cancelled before its response was complete.
-enum class CancelCause { None, CallerDisconnected, TimeLimit, AttemptTimeout };
+enum class CancelCause {
+  None,
+  CallerDisconnected,
+  TimeLimit,
+  AttemptTimeout,
+  DrainTimeout
+};
 
 class Session : public CallerConnection {
 public:
@@ -67,6 +78,10 @@
   };
 
   asio::awaitable<bool> readRequest(Parser &parser);
+  /// Reads and drops what the caller still sends: the system resets a
+  /// connection that is closed with unread bytes, and the caller may lose the
+  /// response.
+  asio::awaitable<void> drainCaller();
   asio::awaitable<void> serveRequest(Request &request);
   std::optional<LocalResponse> admitRequest(Request &request);
   asio::awaitable<void> dispatch(Request &request);
@@ -123,10 +138,11 @@
   }
   if (CurrentExchange != nullptr) {
     CurrentExchange->abort();
-  } else if (cause == CancelCause::TimeLimit) {
+  } else if (cause == CancelCause::TimeLimit ||
+             cause == CancelCause::DrainTimeout) {
     // No request is in flight: the caller was idle or sent its request too
     // slowly.
-    if (!AwaitsRequest) {
+    if (!AwaitsRequest && cause == CancelCause::TimeLimit) {
       logLine("callers", "request_not_read", {{"reason", "time limit"}});
     }
     boost::system::error_code ec;
@@ -220,10 +236,22 @@
     logLine("request", "malformed",
             {{"status", std::to_string(response.Status)},
              {"reason", ec.message()}});
+    co_await drainCaller();
   }
   co_return false;
 }
 
+asio::awaitable<void> Session::drainCaller() {
+  std::array<char, 4U << 10U> ignored{};
+  boost::system::error_code ec;
+  CallerSocket.shutdown(tcp::socket::shutdown_send, ec);
+  armTimer(MaxDrainTime, CancelCause::DrainTimeout);
+  while (!ec) {
+    co_await CallerSocket.async_read_some(
+        asio::buffer(ignored), asio::redirect_error(asio::use_awaitable, ec));
+  }
+}
+
 asio::awaitable<void> Session::run() {
   boost::system::error_code ec;
   CallerSocket.set_option(tcp::no_delay(true), ec);
--- a/packages/gateway/test/gateway_lost_requests_test.cpp
+++ b/packages/gateway/test/gateway_lost_requests_test.cpp
@@ -46,6 +46,13 @@
   std::unique_ptr<RawTarget> Scripted;
 };
 
+TEST_CASE_METHOD(GatewayLostRequestsFixture,
+                 "gateway_too_large_body_is_rejected_before_close") {
+  startRouter();
+  CHECK(exchange(postText("/buy/a", "id-1", 4U << 20U)).Status == 413);
+  CHECK(sendRequest("/buy/a", "id-2").Status == 200);
+}
+
 TEST_CASE_METHOD(GatewayLostRequestsFixture,
                  "gateway_field_longer_than_64_kb_does_not_end_process") {
   setLimit("max-header-bytes", 120'000);
