Read what has arrived before a timer acts

A process that was suspended, or lags, finds its timers expired and the responses waiting. A timer that acted first closed the connection to the target while the rest of a complete response was in its buffers: callers saw streams broken off, and 504 for requests that had been answered. A timer that finds bytes waiting now gives them 100 ms, once, so that bytes without end still end at the deadline.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -76,6 +76,11 @@
   }
 }
 
+bool Exchange::hasUnreadBytes() {
+  return Connection && Connection->is_open() &&
+         peekSocket(*Connection) == SocketState::HasData;
+}
+
 void Exchange::fail(ExchangeResult result, std::string reason) {
   Outcome.Result = Aborted ? ExchangeResult::Cancelled : result;
   Outcome.Reason = std::move(reason);
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -64,6 +64,8 @@
   boost::asio::awaitable<ExchangeOutcome> run();
   /// Closes the connection to the target, which ends `run`.
   void abort();
+  /// Whether bytes of the target wait to be read.
+  bool hasUnreadBytes();
 
 private:
   struct ResponseReader;
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -42,6 +42,10 @@
 /// Time for which bytes of a rejected request are read and dropped.
 constexpr std::chrono::seconds MaxDrainTime{2};
 
+/// Time beyond a timeout for bytes that had arrived before it; a process that
+/// was suspended finds its timers expired.
+constexpr milliseconds ReadTime{100};
+
 /// Why a request was cancelled before its response was complete.
 enum class CancelCause {
   None,
@@ -97,7 +101,9 @@
   void recordEnd(const Request &request, const std::string &outcome,
                  unsigned status, const std::string &reason);
 
-  void armTimer(Duration delay, CancelCause cause);
+  void armTimer(Duration delay, CancelCause cause, bool mayExtend = true);
+  /// Whether bytes that the session waits for have arrived.
+  bool hasUnreadBytes();
   void watchCaller();
   void cancel(CancelCause cause);
 
@@ -120,18 +126,29 @@
   std::shared_ptr<bool> LifetimeToken = std::make_shared<bool>();
 };
 
-void Session::armTimer(Duration delay, CancelCause cause) {
+void Session::armTimer(Duration delay, CancelCause cause, bool mayExtend) {
   const std::uint64_t generation = ++TimerGeneration;
   Timer.expires_after(std::max(delay, Duration{0}));
   Timer.async_wait([this, lifetime = std::weak_ptr<bool>(LifetimeToken),
-                    generation, cause](boost::system::error_code ec) {
+                    generation, cause,
+                    mayExtend](boost::system::error_code ec) {
     if (ec || lifetime.expired() || generation != TimerGeneration) {
       return;
     }
+    if (mayExtend && hasUnreadBytes()) {
+      armTimer(ReadTime, cause, false);
+      return;
+    }
     cancel(cause);
   });
 }
 
+bool Session::hasUnreadBytes() {
+  return CurrentExchange != nullptr
+             ? CurrentExchange->hasUnreadBytes()
+             : peekSocket(CallerSocket) == SocketState::HasData;
+}
+
 void Session::cancel(CancelCause cause) {
   if (CancelledBy == CancelCause::None) {
     CancelledBy = cause;
@@ -245,7 +262,7 @@
   std::array<char, 4U << 10U> ignored{};
   boost::system::error_code ec;
   CallerSocket.shutdown(tcp::socket::shutdown_send, ec);
-  armTimer(MaxDrainTime, CancelCause::DrainTimeout);
+  armTimer(MaxDrainTime, CancelCause::DrainTimeout, false);
   while (!ec) {
     co_await CallerSocket.async_read_some(
         asio::buffer(ignored), asio::redirect_error(asio::use_awaitable, ec));
--- a/packages/gateway/test/gateway_lost_requests_test.cpp
+++ b/packages/gateway/test/gateway_lost_requests_test.cpp
@@ -164,6 +164,35 @@
   }
 };
 
+// Guards against a timer that ends a response which has arrived while the
+// router did not run.
+TEST_CASE_METHOD(GatewayFrozenFixture,
+                 "gateway_response_received_while_frozen_is_forwarded") {
+  const std::string path =
+      GENERATE("/buy/a", "/safe/a", "/stream/whole/a", "/stream/resumed/a");
+  const milliseconds span{GENERATE(2'600, 3'200)};
+  constexpr std::size_t events = 3'000;
+  const Script script =
+      [](RawTargetConnection &connection) -> asio::awaitable<void> {
+    co_await connection.sleep(milliseconds(300));
+    std::string body;
+    for (std::size_t i = 1; i <= events; ++i) {
+      body += "id: " + std::to_string(i) + "\ndata: x\n\n";
+    }
+    std::string text = connection.head("200 OK") +
+                       "Content-Type: text/event-stream\r\nContent-Length: " +
+                       std::to_string(body.size()) + "\r\n\r\n" + body;
+    co_await connection.send(std::move(text));
+  };
+  RawTarget &target = useRawTarget(script);
+  startRouter();
+  const RawResponse response = sendAndFreeze(path, span);
+  CAPTURE(path, span.count());
+  CHECK(response.Status == 200);
+  CHECK(response.Complete);
+  CHECK(target.requestCount() == 1);
+}
+
 // Guards against an idle timer that closes connections on which a request has
 // arrived while the router did not run.
 TEST_CASE_METHOD(GatewayFrozenFixture,
