Abandon an attempt only when another target is reserved

An attempt of a request that may be repeated ends after about half of the time that is left. The test with one target that is silent for 2.3 s of 3 s got 504 before and gets the response now.

--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -115,6 +115,9 @@
   beast::flat_buffer ReadBuffer{MaxCallerBufferBytes};
   Exchange *CurrentExchange = nullptr;
   CancelCause CancelledBy = CancelCause::None;
+  /// Reserves a target for the next attempt. If there is none, returns false
+  /// and sets the timer to the deadline. Empty before the request is sent.
+  std::function<bool()> ReserveTarget;
   /// Counts uses of `Timer`, so that the expiry of an earlier use is
   /// ignored.
   std::uint64_t TimerGeneration = 0;
@@ -139,7 +142,11 @@
       armTimer(ReadTime, cause, false);
       return;
     }
-    cancel(cause);
+    const bool awaitsResponse = cause == CancelCause::AttemptTimeout &&
+                                ReserveTarget && !ReserveTarget();
+    if (!awaitsResponse) {
+      cancel(cause);
+    }
   });
 }
 
@@ -402,6 +409,7 @@
       request.Events->dropIncomplete();
     }
   }
+  lifecycle.releaseReserved(Context.Dispatcher, bootTimeNow());
   co_await completeRequest(request, outcome);
 }
 
@@ -493,10 +501,20 @@
   ExchangeRequest exchangeRequest = makeExchangeRequest(request, assignment);
   exchangeRequest.TargetEndpoint = *targetEndpoint;
   logDispatch(request, assignment);
-  exchangeRequest.OnConnected = [this, &lifecycle, attemptTimeout] {
+  exchangeRequest.OnConnected = [this, &request, &assignment, attemptTimeout] {
+    routing::RequestLifecycle &lifecycle = *request.Lifecycle;
     const Duration timeLeft = lifecycle.remainingTime(bootTimeNow());
     if (attemptTimeout < timeLeft) {
       armTimer(attemptTimeout, CancelCause::AttemptTimeout);
+      ReserveTarget = [this, &lifecycle, &assignment] {
+        const Time now = bootTimeNow();
+        const bool reserved =
+            lifecycle.reserveTarget(Context.Dispatcher, assignment, now);
+        if (!reserved) {
+          armTimer(lifecycle.remainingTime(now), CancelCause::TimeLimit);
+        }
+        return reserved;
+      };
     } else {
       armTimer(timeLeft, CancelCause::TimeLimit);
     }
@@ -543,6 +561,7 @@
   watchCaller();
   ExchangeOutcome outcome = co_await exchange.run();
   CurrentExchange = nullptr;
+  ReserveTarget = nullptr;
   ++TimerGeneration;
   const bool timedOut = CancelledBy == CancelCause::TimeLimit ||
                         CancelledBy == CancelCause::AttemptTimeout;
--- a/packages/gateway/test/gateway_lost_requests_test.cpp
+++ b/packages/gateway/test/gateway_lost_requests_test.cpp
@@ -149,6 +149,27 @@
   }
 }
 
+// Guards against an attempt that is abandoned although no other can follow.
+TEST_CASE_METHOD(GatewayLostRequestsFixture,
+                 "gateway_silent_only_target_is_awaited_to_the_deadline") {
+  const Script script =
+      [](RawTargetConnection &connection) -> asio::awaitable<void> {
+    co_await connection.sleep(milliseconds(2'300));
+    std::string text = connection.head("200 OK") +
+                       "Content-Type: text/event-stream\r\n"
+                       "Content-Length: 15\r\n\r\nid: 1\ndata: x\n\n";
+    co_await connection.send(std::move(text));
+  };
+  useRawTarget(script);
+  startRouter();
+  for (const char *path : {"/safe/a", "/stream/resumed/a"}) {
+    const RawResponse response = sendRequest(path, "id-1");
+    CAPTURE(path);
+    CHECK(response.Status == 200);
+    CHECK(response.Complete);
+  }
+}
+
 class GatewayFrozenFixture : protected GatewayLostRequestsFixture {
 protected:
   /// Sends a request and suspends the router for `span` from 150 ms later.
--- a/packages/routing/include/nutmegsill/routing/request_lifecycle.h
+++ b/packages/routing/include/nutmegsill/routing/request_lifecycle.h
@@ -30,8 +30,15 @@
   RequestLifecycle(const Admission &admission, PromptDescription prompt,
                    Time arrivedAt);
 
-  /// Chooses the target of the next attempt, or returns why there is none.
+  /// Chooses the target of the next attempt, or returns why there is none. A
+  /// reserved one is taken.
   DispatchDecision chooseTarget(Dispatcher &dispatcher, Time now);
+  /// Reserves a target for the attempt after the present one; false if there is
+  /// none.
+  bool reserveTarget(Dispatcher &dispatcher, const Assignment &present,
+                     Time now);
+  /// Gives up a reserved target.
+  void releaseReserved(Dispatcher &dispatcher, Time now);
   /// Records that part of the response has arrived.
   void recordProgress(Dispatcher &dispatcher, Assignment &assignment, Time now);
   /// Records the outcome of an attempt; returns whether another may follow.
@@ -71,6 +78,7 @@
   bool PromptSurvived = false;
   AttemptOutcome LastOutcome;
   std::optional<Rejection> LastRejection;
+  std::optional<Assignment> Reserved;
 };
 
 } // namespace nutmegsill::routing
--- a/packages/routing/src/request_lifecycle.cpp
+++ b/packages/routing/src/request_lifecycle.cpp
@@ -39,6 +39,9 @@
   Request.RemainingTime = remainingTime(now);
   FirstEventAt.reset();
   PromptSurvived = false;
+  if (Reserved) {
+    return *std::exchange(Reserved, std::nullopt);
+  }
   DispatchDecision decision = dispatcher.chooseTarget(Request, now);
   if (const Rejection *it = std::get_if<Rejection>(&decision)) {
     LastRejection = *it;
@@ -46,6 +49,28 @@
   return decision;
 }
 
+bool RequestLifecycle::reserveTarget(Dispatcher &dispatcher,
+                                     const Assignment &present, Time now) {
+  DispatchRequest next = Request;
+  next.ElapsedTime = now - ArrivedAt;
+  next.RemainingTime = remainingTime(now);
+  next.AttemptedTargets.push_back(present.Target);
+  next.IsRetry = true;
+  DispatchDecision decision = dispatcher.chooseTarget(next, now);
+  if (Assignment *it = std::get_if<Assignment>(&decision)) {
+    releaseReserved(dispatcher, now);
+    Reserved = std::move(*it);
+  }
+  return Reserved.has_value();
+}
+
+void RequestLifecycle::releaseReserved(Dispatcher &dispatcher, Time now) {
+  if (Reserved) {
+    dispatcher.recordResult(*Reserved, ExchangeResult::Cancelled, now);
+    Reserved.reset();
+  }
+}
+
 void RequestLifecycle::recordProgress(Dispatcher &dispatcher,
                                       Assignment &assignment, Time now) {
   dispatcher.recordProgress(assignment, now);
--- a/packages/routing/test/request_lifecycle_test.cpp
+++ b/packages/routing/test/request_lifecycle_test.cpp
@@ -117,4 +117,61 @@
   CHECK(running == 8);
 }
 
+class ReservedTargetFixture : protected RequestLifecycleFixture {
+protected:
+  ReservedTargetFixture() {
+    Config->Routes[1].MaxAttempts = 2;
+    Config->Routes[1].Semantics = ExecutionSemantics::Idempotent;
+  }
+  std::uint32_t runningRequests() {
+    std::uint32_t out = 0;
+    for (const TargetLoad &it :
+         TestedDispatcher.collectReports(at(4)).OwnReport.Targets) {
+      out += it.RunningRequests;
+    }
+    return out;
+  }
+};
+
+TEST_CASE_METHOD(ReservedTargetFixture,
+                 "request_lifecycle_reserved_target_is_the_next") {
+  RequestLifecycle lifecycle = start();
+  DispatchDecision first = lifecycle.chooseTarget(TestedDispatcher, at(1));
+  Assignment present = std::get<Assignment>(first);
+  CHECK(lifecycle.reserveTarget(TestedDispatcher, present, at(2)));
+  CHECK(runningRequests() == 2);
+  AttemptOutcome outcome;
+  outcome.Result = ExchangeResult::TimedOut;
+  outcome.RequestSent = true;
+  CHECK(lifecycle.finishAttempt(TestedDispatcher, present, outcome, at(3)));
+  DispatchDecision second = lifecycle.chooseTarget(TestedDispatcher, at(3));
+  CHECK(std::get<Assignment>(second).Target != present.Target);
+  CHECK(runningRequests() == 1);
+}
+
+TEST_CASE_METHOD(ReservedTargetFixture,
+                 "request_lifecycle_released_target_carries_no_load") {
+  RequestLifecycle lifecycle = start();
+  DispatchDecision first = lifecycle.chooseTarget(TestedDispatcher, at(1));
+  Assignment present = std::get<Assignment>(first);
+  CHECK(lifecycle.reserveTarget(TestedDispatcher, present, at(2)));
+  lifecycle.releaseReserved(TestedDispatcher, at(3));
+  lifecycle.releaseReserved(TestedDispatcher, at(3));
+  CHECK(runningRequests() == 1);
+}
+
+TEST_CASE_METHOD(ReservedTargetFixture,
+                 "request_lifecycle_without_other_target_reserves_none") {
+  std::shared_ptr<FleetView> view = std::make_shared<FleetView>();
+  view->Config = Config;
+  view->Targets.push_back(KnownTarget{target("d-1", "desk"), {}, false});
+  view->Routers.push_back(router("host-1"));
+  TestedDispatcher.setView(view, at(0));
+  RequestLifecycle lifecycle = start();
+  DispatchDecision first = lifecycle.chooseTarget(TestedDispatcher, at(1));
+  CHECK_FALSE(lifecycle.reserveTarget(TestedDispatcher,
+                                      std::get<Assignment>(first), at(2)));
+  CHECK(runningRequests() == 1);
+}
+
 } // namespace nutmegsill::routing
