--- a/packages/gateway/test/gateway_stop_test.cpp
+++ b/packages/gateway/test/gateway_stop_test.cpp
@@ -196,4 +196,29 @@
   CHECK(!listed);
 }
 
+TEST_CASE_METHOD(GatewayStopFixture,
+                 "gateway_stop_while_store_is_away_ends_in_grace") {
+  StopGraceS = 4;
+  startRouter();
+  sendRequest("/safe/a", "id-1");
+  Store->setMode(StoreMode::Silent);
+  signalStop();
+  RouterProcesses[0].signal(SIGHUP);
+  sleepUntilAfterSignal(1'000);
+  // A second signal changes nothing.
+  RouterProcesses[0].signal(SIGINT);
+  CHECK(sendRequest("/safe/a", "id-2").Status == 200);
+  CHECK(exitCodeWithinGrace() == 0);
+}
+
+TEST_CASE_METHOD(GatewayStopFixture,
+                 "gateway_stop_before_first_view_ends_in_grace") {
+  StopGraceS = 2;
+  Store->setMode(StoreMode::Silent);
+  CHECK(!addRouter());
+  signalStop();
+  CHECK(sendRequest("/safe/a", "id-1").Status == 503);
+  CHECK(exitCodeWithinGrace() == 0);
+}
+
 } // namespace nutmegsill::standin
