--- a/packages/routing/test/stop_schedule_test.cpp
+++ b/packages/routing/test/stop_schedule_test.cpp
@@ -1,5 +1,7 @@
 #include "nutmegsill/routing/stop_schedule.h"
 
+#include <catch2/catch.hpp>
+
 namespace nutmegsill::routing {
 
 class StopScheduleFixture {
