Bound trailers of requests and responses

Beast limits the size of a header, not that of a chunked trailer, and throws std::length_error at a field of 64 KB: one request, or one response of a target or an engine, ended the process. The parser never holds that many bytes now; such a request gets 400.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -23,7 +23,8 @@
 
 constexpr std::size_t PartBufferBytes = 4U << 10U;
 constexpr std::uint32_t MaxTargetHeaderBytes = 32U << 10U;
-constexpr std::size_t MaxTargetBufferBytes = 64U << 10U;
+/// The HTTP library throws at fields of 64 KB, also in trailers.
+constexpr std::size_t MaxTargetBufferBytes = 62U << 10U;
 /// Largest response body that is buffered until it is complete.
 constexpr std::size_t MaxBufferedBodyBytes = 8U << 20U;
 /// Largest body of a response to an earlier request that is skipped.
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -33,12 +33,11 @@
 /// and a request that is not sent yet can be sent to another target.
 constexpr milliseconds ConnectTimeout{300};
 
-/// Bytes of a caller that are read ahead of the parser; the operators' limit
-/// for headers is lower.
-constexpr std::size_t MaxCallerBufferBytes = 128U << 10U;
-/// Longest header that is accepted, whatever the configuration says: the HTTP
-/// library throws at fields of 64 KB.
-constexpr std::uint32_t MaxCallerHeaderBytes = 64U << 10U;
+/// Bytes of a caller that are read ahead of the parser. The HTTP library throws
+/// at fields of 64 KB and limits the size of headers, not that of trailers.
+constexpr std::size_t MaxCallerBufferBytes = 62U << 10U;
+/// Longest header that is accepted, whatever the configuration says.
+constexpr std::uint32_t MaxCallerHeaderBytes = 60U << 10U;
 /// Time for which bytes of a rejected request are read and dropped.
 constexpr std::chrono::seconds MaxDrainTime{2};
 
--- a/packages/gateway/test/gateway_lost_requests_test.cpp
+++ b/packages/gateway/test/gateway_lost_requests_test.cpp
@@ -65,6 +65,34 @@
   CHECK(sendRequest("/buy/a", "id-2").Status == 200);
 }
 
+TEST_CASE_METHOD(GatewayLostRequestsFixture,
+                 "gateway_trailer_longer_than_64_kb_does_not_end_process") {
+  startRouter();
+  const std::string chunked =
+      "POST /buy/a HTTP/1.1\r\nHost: models.example\r\nRequest-Id: id-1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: ";
+  CHECK(exchange(chunked + std::string(70'000, 'x') + "\r\n\r\n").Status ==
+        400);
+  CHECK(sendRequest("/buy/a", "id-2").Status == 200);
+}
+
+TEST_CASE_METHOD(GatewayLostRequestsFixture,
+                 "gateway_target_trailer_longer_than_64_kb_ends_nothing") {
+  const Script script =
+      [](RawTargetConnection &connection) -> asio::awaitable<void> {
+    std::string text = connection.head("200 OK") +
+                       "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: " +
+                       std::string(70'000, 'x') + "\r\n\r\n";
+    co_await connection.send(std::move(text));
+    connection.close();
+  };
+  useRawTarget(script);
+  startRouter();
+  for (const char *path : {"/buy/a", "/safe/a", "/stream/whole/a"}) {
+    CHECK(sendRequest(path, "id-1").Status != 0);
+  }
+}
+
 TEST_CASE_METHOD(GatewayLostRequestsFixture,
                  "gateway_long_event_id_does_not_end_process") {
   const Script script =
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -20,8 +20,8 @@
 /// about 1 MB.
 constexpr std::uint64_t MaxResponseBodyBytes = 8ULL << 20U;
 /// Bounds what the parser keeps while it waits for the end of a chunk's
-/// extension.
-constexpr std::size_t MaxReadAheadBytes = 128U << 10U;
+/// extension, or of a trailer: the HTTP library throws at fields of 64 KB.
+constexpr std::size_t MaxReadAheadBytes = 62U << 10U;
 constexpr std::size_t MaxIdlePerEndpoint = 8;
 /// Time limit for connecting. A lost SYN is sent again only after a second; the
 /// shorter limit lets a new attempt start earlier.
