Read responses that have arrived before a stop ends their requests

At the end of the time for requests in flight, a stop closed the connections to targets at once, also with a response waiting in them: the same class as a timer that acts before what has arrived is read. A router that was suspended or lagged then answered 504 to requests that had been answered. Bytes that wait are read for up to 100 ms more.

Found by reading in the review.

--- a/packages/gateway/src/caller_connections.cpp
+++ b/packages/gateway/src/caller_connections.cpp
@@ -12,9 +12,9 @@
 
 } // namespace
 
-void CallerConnections::endRequests() const {
+void CallerConnections::endRequests(bool readFirst) const {
   for (CallerConnection *it : Open) {
-    it->endRequest();
+    it->endRequest(readFirst);
   }
 }
 
--- a/packages/gateway/src/caller_connections.h
+++ b/packages/gateway/src/caller_connections.h
@@ -12,8 +12,9 @@
 class CallerConnection {
 public:
   /// Ends the request that targets serve at present: it gets a response of the
-  /// router, or its stream ends incomplete.
-  virtual void endRequest() = 0;
+  /// router, or its stream ends incomplete. With `readsFirst` not while bytes
+  /// of its response wait to be read.
+  virtual void endRequest(bool readsFirst) = 0;
   /// Closes the connection unless a request is being served or has begun to
   /// arrive.
   virtual void closeIfIdle() = 0;
@@ -33,7 +34,7 @@
 
   void add(CallerConnection &connection) { Open.insert(&connection); }
   void remove(CallerConnection &connection) { Open.erase(&connection); }
-  void endRequests() const;
+  void endRequests(bool readFirst) const;
   void closeIdle() const;
   std::size_t size() const { return Open.size(); }
   /// Whether a connection may stay open after its response.
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -61,7 +61,7 @@
         Timer(CallerSocket.get_executor()), Writer(CallerSocket) {}
 
   asio::awaitable<void> run();
-  void endRequest() override;
+  void endRequest(bool readsFirst) override;
   void closeIfIdle() override;
 
 private:
@@ -173,8 +173,8 @@
   }
 }
 
-void Session::endRequest() {
-  if (CurrentExchange != nullptr) {
+void Session::endRequest(bool readsFirst) {
+  if (CurrentExchange != nullptr && !(readsFirst && hasUnreadBytes())) {
     cancel(CancelCause::TimeLimit);
   }
 }
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -21,6 +21,8 @@
 /// Time for the first request on a connection that was just accepted when the
 /// listening socket is closed.
 constexpr milliseconds FirstRequestDelay{100};
+/// Time for reading what had arrived when requests in flight are ended.
+constexpr milliseconds ReadTime{100};
 /// Interval of the timers by which the event loop's lag is measured.
 constexpr milliseconds LagProbeInterval{50};
 /// Shortest time between two log lines about paused listening.
@@ -194,17 +196,17 @@
   // Callers whose connection is refused try another router at once.
   Listener.stop();
   co_await sleepFor(Io, FirstRequestDelay);
-  bool ended = false;
+  std::optional<Time> endedAt;
   while (Context.Callers.size() > 0 && bootTimeNow() < schedule.processEnd()) {
     Context.Callers.closeIdle();
-    const bool atEnd = bootTimeNow() >= schedule.requestEnd();
-    if (atEnd && !ended) {
+    const Time now = bootTimeNow();
+    if (!endedAt && now >= schedule.requestEnd()) {
+      endedAt = now;
       logLine("process", "requests_ended",
               {{"open", std::to_string(Context.RequestsInFlight)}});
     }
-    ended = atEnd;
-    if (ended) {
-      Context.Callers.endRequests();
+    if (endedAt) {
+      Context.Callers.endRequests(now - *endedAt < ReadTime);
     }
     co_await sleepFor(Io, StopCheckInterval);
   }
--- a/packages/gateway/test/gateway_lost_requests_test.cpp
+++ b/packages/gateway/test/gateway_lost_requests_test.cpp
@@ -200,6 +200,20 @@
 
 class GatewayFrozenFixture : protected GatewayLostRequestsFixture {
 protected:
+  /// Sends a stream of 50 KB at once.
+  static Script sendEventsAfter(milliseconds delay) {
+    return [delay](RawTargetConnection &connection) -> asio::awaitable<void> {
+      co_await connection.sleep(delay);
+      std::string body;
+      for (int i = 1; i <= 3'000; ++i) {
+        body += "id: " + std::to_string(i) + "\ndata: x\n\n";
+      }
+      std::string text = connection.head("200 OK") +
+                         "Content-Type: text/event-stream\r\nContent-Length: " +
+                         std::to_string(body.size()) + "\r\n\r\n" + body;
+      co_await connection.send(std::move(text));
+    };
+  }
   /// Sends a request and suspends the router for `span` from 150 ms later.
   RawResponse sendAndFreeze(const std::string &path, milliseconds span) {
     RawResponse response;
@@ -220,20 +234,7 @@
   const std::string path =
       GENERATE("/buy/a", "/safe/a", "/stream/whole/a", "/stream/resumed/a");
   const milliseconds span{GENERATE(2'600, 3'200)};
-  constexpr std::size_t events = 3'000;
-  const Script script =
-      [](RawTargetConnection &connection) -> asio::awaitable<void> {
-    co_await connection.sleep(milliseconds(300));
-    std::string body;
-    for (std::size_t i = 1; i <= events; ++i) {
-      body += "id: " + std::to_string(i) + "\ndata: x\n\n";
-    }
-    std::string text = connection.head("200 OK") +
-                       "Content-Type: text/event-stream\r\nContent-Length: " +
-                       std::to_string(body.size()) + "\r\n\r\n" + body;
-    co_await connection.send(std::move(text));
-  };
-  RawTarget &target = useRawTarget(script);
+  RawTarget &target = useRawTarget(sendEventsAfter(milliseconds(300)));
   startRouter();
   const RawResponse response = sendAndFreeze(path, span);
   CAPTURE(path, span.count());
@@ -242,6 +243,21 @@
   CHECK(target.requestCount() == 1);
 }
 
+// Guards against the end of a stop that cuts a response which has arrived.
+TEST_CASE_METHOD(
+    GatewayFrozenFixture,
+    "gateway_response_received_while_frozen_in_stop_is_forwarded") {
+  const std::string path = GENERATE("/buy/a", "/stream/whole/a");
+  StopGraceS = 4;
+  useRawTarget(sendEventsAfter(milliseconds(300)));
+  startRouter();
+  RouterProcesses[0].signal(SIGTERM);
+  const RawResponse response = sendAndFreeze(path, milliseconds(3'500));
+  CAPTURE(path);
+  CHECK(response.Status == 200);
+  CHECK(response.Complete);
+}
+
 // Guards against an idle timer that closes connections on which a request has
 // arrived while the router did not run.
 TEST_CASE_METHOD(GatewayFrozenFixture,
