Count the end of a connection as unread, and reserve for open attempts only

A response without a length ends with its connection: a timer that found only that end waiting, after a suspension, ended a complete response as timed out. And an attempt whose exchange had ended already, while the target was probed, could still reserve another target, which was then released again.

Found by reading in the review; no test shows it.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -78,8 +78,9 @@
 }
 
 bool Exchange::hasUnreadBytes() {
-  return Connection && Connection->is_open() &&
-         peekSocket(*Connection) == SocketState::HasData;
+  // The end of the connection may complete a response without a length.
+  return Outcome.RequestSent && Connection && Connection->is_open() &&
+         peekSocket(*Connection) != SocketState::Open;
 }
 
 void Exchange::fail(ExchangeResult result, std::string reason) {
@@ -393,6 +394,7 @@
 
 asio::awaitable<ExchangeOutcome> Exchange::run() {
   co_await transfer();
+  Transferred = true;
   co_await stopSending();
   if (Request.ProbeLostTarget && Outcome.Result == ExchangeResult::Broken) {
     Connection.reset();
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -64,8 +64,10 @@
   boost::asio::awaitable<ExchangeOutcome> run();
   /// Closes the connection to the target, which ends `run`.
   void abort();
-  /// Whether bytes of the target wait to be read.
+  /// Whether bytes of the target, or their end, wait to be read.
   bool hasUnreadBytes();
+  /// Whether the target has the request, and its response is not complete.
+  bool awaitsResponse() const { return Outcome.RequestSent && !Transferred; }
 
 private:
   struct ResponseReader;
@@ -102,6 +104,8 @@
   /// The connection has served an earlier request.
   bool IsReused = false;
   bool Aborted = false;
+  /// `transfer` has ended.
+  bool Transferred = false;
   ExchangeOutcome Outcome;
 };
 
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -141,9 +141,10 @@
       armTimer(ReadTime, cause, false);
       return;
     }
-    const bool awaitsResponse = cause == CancelCause::AttemptTimeout &&
-                                ReserveTarget && !ReserveTarget();
-    if (!awaitsResponse) {
+    const bool mayAbandon =
+        cause != CancelCause::AttemptTimeout || !ReserveTarget ||
+        !CurrentExchange->awaitsResponse() || ReserveTarget();
+    if (mayAbandon) {
       cancel(cause);
     }
   });
