Write nothing to the descriptor of a stop signal that is gone

A second signal at the end of the process wrote to a descriptor number that another thread may have got since. The comment on the listener says that it takes waiting connections as far as admission allows.

--- a/packages/gateway/src/caller_listener.h
+++ b/packages/gateway/src/caller_listener.h
@@ -28,7 +28,8 @@
 
   /// Opens the socket; returns why it failed, or nothing.
   std::optional<std::string> start();
-  /// Takes the connections that are waiting and closes the socket for good.
+  /// Takes connections that are waiting, as admission allows, and closes the
+  /// socket for good.
   void stop();
   /// Adapts the number of connections to the event loop's lag; call in regular
   /// intervals.
--- a/packages/gateway/src/stop_signal.cpp
+++ b/packages/gateway/src/stop_signal.cpp
@@ -47,6 +47,8 @@
   }
 }
 
+StopSignal::~StopSignal() { NotificationDescriptor = -1; }
+
 std::optional<Time> StopSignal::arrivedAt() {
   const std::int64_t count = ArrivedAt;
   return count == 0 ? std::nullopt : std::optional(Time(Duration(count)));
--- a/packages/gateway/src/stop_signal.h
+++ b/packages/gateway/src/stop_signal.h
@@ -15,6 +15,9 @@
 class StopSignal {
 public:
   explicit StopSignal(boost::asio::io_context &io);
+  ~StopSignal();
+  StopSignal(const StopSignal &) = delete;
+  StopSignal &operator=(const StopSignal &) = delete;
 
   /// Waits for the first signal and returns when it arrived, however late the
   /// event loop gets to it.
