Log which request was lost with its target, on routes of all kinds

The logs told neither which lost requests were the same, nor whether a plain target had ended or its connection was lost: the probe after a lost connection was made for prompts only.

The probe follows every lost connection now, and `belief/request_lost` (`prompt_lost` before) names the request by a hash of its team, method, host, path, query and body. A plain target that ended is avoided like an unreachable one.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -396,7 +396,7 @@
   co_await transfer();
   Transferred = true;
   co_await stopSending();
-  if (Request.ProbeLostTarget && Outcome.Result == ExchangeResult::Broken) {
+  if (Outcome.Result == ExchangeResult::Broken) {
     Connection.reset();
     co_await probeLostTarget();
   }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -27,9 +27,6 @@
   bool IsStream = false;
   /// The response has no body, whatever its header says.
   bool ResponseHasNoBody = false;
-  /// Whether the target still accepts connections is found out if the
-  /// connection is lost.
-  bool ProbeLostTarget = false;
   /// Idle connections that may be kept to this target.
   std::size_t MaxIdleConnections = 1;
   /// Called when connected, before the first byte is sent.
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -54,6 +54,10 @@
   DrainTimeout
 };
 
+std::string_view toView(beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
 class Session : public CallerConnection {
 public:
   Session(SessionContext &context, tcp::socket caller)
@@ -351,7 +355,14 @@
         std::min(admission.TimeLimit, stop->requestEnd() - now);
   }
   request.Admitted = std::move(admission);
-  request.Lifecycle.emplace(*request.Admitted, request.Head.Prompt, now);
+  routing::RequestContent content;
+  content.Team = request.Admitted->Team.Text;
+  content.Method = toView(request.Message.method_string());
+  content.HostName = request.Head.HostName;
+  content.Target = toView(request.Message.target());
+  content.Body = request.Message.body();
+  request.Lifecycle.emplace(*request.Admitted, request.Head.Prompt,
+                            routing::RequestIdentity(content), now);
   return std::nullopt;
 }
 
@@ -452,8 +463,6 @@
   exchangeRequest.RequestId = request.Head.RequestId;
   exchangeRequest.IsStream =
       request.Admitted->Route->Semantics == routing::ExecutionSemantics::Stream;
-  exchangeRequest.ProbeLostTarget =
-      request.Lifecycle->dispatchRequest().Prompt.InputTokens > 0;
   exchangeRequest.ResponseHasNoBody = message.method() == http::verb::head;
   exchangeRequest.MaxIdleConnections =
       Context.Dispatcher.maxConnectionsPerTarget(assignment.Pool);
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -10,6 +10,7 @@
 #include "nutmegsill/routing/prompt.h"
 #include "nutmegsill/routing/prompt_quarantine.h"
 #include "nutmegsill/routing/report_recipients.h"
+#include "nutmegsill/routing/request_identity.h"
 #include "nutmegsill/routing/retry_budget.h"
 #include "nutmegsill/routing/target_statements.h"
 #include "nutmegsill/routing/team_share.h"
@@ -28,6 +29,7 @@
   PoolId Pool;
   TeamId Team;
   PromptDescription Prompt;
+  RequestIdentity Identity;
   /// Time since the request arrived.
   Duration ElapsedTime{0};
   /// Time until the request's deadline.
@@ -214,11 +216,11 @@
   /// Records what the response's header states of the target.
   void recordStatement(const Assignment &assignment,
                        const TargetStatement &statement, Time now);
-  /// Records that the engine ended before the response had lasted.
-  void recordPromptLost(const DispatchRequest &request,
+  /// Records that the target ended before the response had lasted.
+  void recordLost(const DispatchRequest &request,
                         const Assignment &assignment, Time now);
   /// Records that the response has lasted, or is complete.
-  void recordPromptSurvived(const DispatchRequest &request,
+  void recordSurvived(const DispatchRequest &request,
                             const Assignment &assignment, Time now);
   /// Whether the prompt of a request whose engine ended may be sent again.
   bool mayRepeatPrompt(const DispatchRequest &request, Time now) const {
--- a/packages/routing/include/nutmegsill/routing/prompt_quarantine.h
+++ b/packages/routing/include/nutmegsill/routing/prompt_quarantine.h
@@ -9,6 +9,7 @@
 
 #include "nutmegsill/routing/fleet_change.h"
 #include "nutmegsill/routing/prompt.h"
+#include "nutmegsill/routing/request_identity.h"
 #include "nutmegsill/routing/target_process.h"
 #include "nutmegsill/types.h"
 
@@ -109,8 +110,9 @@
   /// Sets the routers of the fleet, which take turns at trials.
   void setRouters(std::vector<HostId> routers) { Routers = std::move(routers); }
 
-  /// Records that an engine ended before the response had lasted.
-  void recordLoss(const PromptDescription &prompt, const TargetProcess &process,
+  /// Records that a target ended before the response had lasted.
+  void recordLoss(const RequestIdentity &request,
+                  const PromptDescription &prompt, const TargetProcess &process,
                   Time now);
   /// Records that a response was complete, or lasted after its first event.
   void recordSurvival(const PromptDescription &prompt, Time sentAt, Time now);
--- a/packages/routing/include/nutmegsill/routing/request_lifecycle.h
+++ b/packages/routing/include/nutmegsill/routing/request_lifecycle.h
@@ -28,7 +28,7 @@
 class RequestLifecycle {
 public:
   RequestLifecycle(const Admission &admission, PromptDescription prompt,
-                   Time arrivedAt);
+                   RequestIdentity identity, Time arrivedAt);
 
   /// Chooses the target of the next attempt, or returns why there is none. A
   /// reserved one is taken.
@@ -61,7 +61,7 @@
 private:
   bool mayRetry(const Dispatcher &dispatcher, const AttemptOutcome &outcome,
                 Time now) const;
-  void recordPromptOutcome(Dispatcher &dispatcher, const Assignment &assignment,
+  void recordLossOrSurvival(Dispatcher &dispatcher, const Assignment &assignment,
                            ExchangeResult result, Time now);
 
   DispatchRequest Request;
@@ -75,7 +75,7 @@
   /// Time of the first event of the present attempt.
   std::optional<Time> FirstEventAt;
   /// The response of the present attempt has lasted.
-  bool PromptSurvived = false;
+  bool Survived = false;
   AttemptOutcome LastOutcome;
   std::optional<Rejection> LastRejection;
   std::optional<Assignment> Reserved;
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -442,14 +442,14 @@
   return out;
 }
 
-void Dispatcher::recordPromptLost(const DispatchRequest &request,
-                                  const Assignment &assignment, Time now) {
-  Quarantine.recordLoss(request.Prompt,
+void Dispatcher::recordLost(const DispatchRequest &request,
+                            const Assignment &assignment, Time now) {
+  Quarantine.recordLoss(request.Identity, request.Prompt,
                         {assignment.Target, assignment.TargetStartedAtMs}, now);
 }
 
-void Dispatcher::recordPromptSurvived(const DispatchRequest &request,
-                                      const Assignment &assignment, Time now) {
+void Dispatcher::recordSurvived(const DispatchRequest &request,
+                                const Assignment &assignment, Time now) {
   Quarantine.recordSurvival(request.Prompt, assignment.SentAt, now);
 }
 
--- a/packages/routing/src/prompt_quarantine.cpp
+++ b/packages/routing/src/prompt_quarantine.cpp
@@ -11,19 +11,10 @@
 
 namespace {
 
-std::string formatPart(std::uint64_t part) {
-  constexpr const char *digits = "0123456789abcdef";
-  std::string out(16, '0');
-  for (std::size_t i = out.size(); i > 0 && part != 0; part >>= 4U) {
-    out[--i] = digits[part & 0xfU];
-  }
-  return out;
-}
-
 std::string formatParts(const std::vector<std::uint64_t> &parts) {
   std::string out;
   for (const std::uint64_t it : parts) {
-    out += (out.empty() ? "" : " ") + formatPart(it);
+    out += (out.empty() ? "" : " ") + formatHash(it);
   }
   return out;
 }
@@ -54,19 +45,21 @@
 
 } // namespace
 
-void PromptQuarantine::recordLoss(const PromptDescription &prompt,
+void PromptQuarantine::recordLoss(const RequestIdentity &request,
+                                  const PromptDescription &prompt,
                                   const TargetProcess &process, Time now) {
   Loss loss{process,
             now,
             sharedParts(prompt, Policy.MaxPartsPerPrompt),
             {Policy.ReportRepeats, Policy.ReportRepeats}};
-  if (loss.Parts.empty()) {
-    return;
-  }
-  Changes.push_back({"prompt_lost",
+  Changes.push_back({"request_lost",
                      {{"target", process.Target.Text},
                       {"started_at_ms", std::to_string(process.StartedAtMs)},
+                      {"request", formatHash(request.hash())},
                       {"parts", formatParts(loss.Parts)}}});
+  if (loss.Parts.empty()) {
+    return;
+  }
   addLoss(std::move(loss));
   update(now);
 }
@@ -127,7 +120,7 @@
       sentAt + Policy.MaxReportDelay >= quarantined->second.Since) {
     Changes.push_back(
         {"prompt_part_released",
-         {{"part", formatPart(part)},
+         {{"part", formatHash(part)},
           {"quarantined_ms",
            std::to_string(toMilliseconds(now - quarantined->second.Since))}}});
     Quarantined.erase(quarantined);
@@ -225,7 +218,7 @@
     }
     quarantine(worst->Part, {now, 0});
     Changes.push_back({"prompt_part_quarantined",
-                       {{"part", formatPart(worst->Part)},
+                       {{"part", formatHash(worst->Part)},
                         {"crashes", std::to_string(worst->Crashes)},
                         {"first_crash_ms", std::to_string(toMilliseconds(
                                                now - worst->FirstCrashAt))},
@@ -249,7 +242,7 @@
     return false;
   }
   const std::string key =
-      formatPart(part) + "/" + std::to_string(due / Policy.TrialTurn);
+      formatHash(part) + "/" + std::to_string(due / Policy.TrialTurn);
   const std::uint64_t own = rendezvousWeight(Self, key);
   return std::none_of(Routers.begin(), Routers.end(), [&](const HostId &it) {
     return it != Self && rendezvousWeight(it, key) > own;
@@ -280,7 +273,7 @@
     if (known != Quarantined.end()) {
       known->second = {now, known->second.Trials + 1};
       Changes.push_back({"prompt_part_tried",
-                         {{"part", formatPart(it)},
+                         {{"part", formatHash(it)},
                           {"trials", std::to_string(known->second.Trials)}}});
     }
   }
@@ -327,7 +320,7 @@
   quarantine(quarantined.Part, {since, quarantined.Trials});
   Changes.push_back(
       {"prompt_part_quarantined",
-       {{"part", formatPart(quarantined.Part)}, {"by", "report"}}});
+       {{"part", formatHash(quarantined.Part)}, {"by", "report"}}});
 }
 
 void PromptQuarantine::receive(const QuarantineReport &report, bool relayed,
--- a/packages/routing/src/request_lifecycle.cpp
+++ b/packages/routing/src/request_lifecycle.cpp
@@ -25,12 +25,14 @@
 } // namespace
 
 RequestLifecycle::RequestLifecycle(const Admission &admission,
-                                   PromptDescription prompt, Time arrivedAt)
+                                   PromptDescription prompt,
+                                   RequestIdentity identity, Time arrivedAt)
     : ArrivedAt(arrivedAt), Deadline(arrivedAt + admission.TimeLimit) {
   Request.Route = admission.Route;
   Request.Pool = admission.Pool;
   Request.Team = admission.Team;
   Request.Prompt = std::move(prompt);
+  Request.Identity = std::move(identity);
 }
 
 DispatchDecision RequestLifecycle::chooseTarget(Dispatcher &dispatcher,
@@ -38,7 +40,7 @@
   Request.ElapsedTime = now - ArrivedAt;
   Request.RemainingTime = remainingTime(now);
   FirstEventAt.reset();
-  PromptSurvived = false;
+  Survived = false;
   if (Reserved) {
     return *std::exchange(Reserved, std::nullopt);
   }
@@ -75,22 +77,22 @@
                                       Assignment &assignment, Time now) {
   dispatcher.recordProgress(assignment, now);
   FirstEventAt = FirstEventAt.value_or(now);
-  if (!PromptSurvived && now - *FirstEventAt >= SurvivalTime) {
-    PromptSurvived = true;
-    dispatcher.recordPromptSurvived(Request, assignment, now);
+  if (!Survived && now - *FirstEventAt >= SurvivalTime) {
+    Survived = true;
+    dispatcher.recordSurvived(Request, assignment, now);
   }
 }
 
-void RequestLifecycle::recordPromptOutcome(Dispatcher &dispatcher,
+void RequestLifecycle::recordLossOrSurvival(Dispatcher &dispatcher,
                                            const Assignment &assignment,
                                            ExchangeResult result, Time now) {
-  if (PromptSurvived) {
+  if (Survived) {
     return;
   }
   if (result == ExchangeResult::Completed) {
-    dispatcher.recordPromptSurvived(Request, assignment, now);
+    dispatcher.recordSurvived(Request, assignment, now);
   } else if (result == ExchangeResult::TargetEnded) {
-    dispatcher.recordPromptLost(Request, assignment, now);
+    dispatcher.recordLost(Request, assignment, now);
   }
 }
 
@@ -98,7 +100,7 @@
                                      Assignment &assignment,
                                      const AttemptOutcome &outcome, Time now) {
   dispatcher.recordResult(assignment, outcome.Result, now);
-  recordPromptOutcome(dispatcher, assignment, outcome.Result, now);
+  recordLossOrSurvival(dispatcher, assignment, outcome.Result, now);
   Request.AttemptedTargets.push_back(assignment.Target);
   LastOutcome = outcome;
   const bool misdirected = outcome.Result == ExchangeResult::Misdirected;
--- a/packages/routing/test/prompt_lifecycle_test.cpp
+++ b/packages/routing/test/prompt_lifecycle_test.cpp
@@ -36,7 +36,7 @@
     }
     prompt.Parts.push_back({++LastOwn, 100});
     prompt.InputTokens = 100 * static_cast<std::uint32_t>(prompt.Parts.size());
-    return {admission, std::move(prompt), now};
+    return {admission, std::move(prompt), RequestIdentity(LastOwn), now};
   }
   /// Plays one attempt that ends 100 ms later; returns whether another may
   /// follow.
--- a/packages/routing/test/prompt_quarantine_fleet_test.cpp
+++ b/packages/routing/test/prompt_quarantine_fleet_test.cpp
@@ -199,7 +199,7 @@
     const TargetProcess process{TargetId{"e-" + std::to_string(index)},
                                 engine.StartedAtMs};
     for (const Prompt &it : engine.Prompts) {
-      Routers[it.Router].recordLoss(it.Description, process, Now);
+      Routers[it.Router].recordLoss({}, it.Description, process, Now);
     }
     engine.Prompts.clear();
     engine.StartedAtMs += 1;
--- a/packages/routing/test/prompt_quarantine_test.cpp
+++ b/packages/routing/test/prompt_quarantine_test.cpp
@@ -26,7 +26,7 @@
   /// Three engines end under the deadly part, one second apart.
   void crashThreeTimes() {
     for (int i = 0; i < 3; ++i) {
-      Quarantine.recordLoss(prompt({Root, Deadly}),
+      Quarantine.recordLoss({}, prompt({Root, Deadly}),
                             process("e-" + std::to_string(i)), at(i * 1'000L));
     }
     Quarantine.update(at(3'000));
@@ -52,7 +52,7 @@
   for (int i = 0; i < 5; ++i) {
     PromptDescription own;
     own.Parts = {{Deadly, 500}};
-    Quarantine.recordLoss(own, process("e-" + std::to_string(i)),
+    Quarantine.recordLoss({}, own, process("e-" + std::to_string(i)),
                           at(i * 1'000L));
   }
   Quarantine.update(at(6'000));
@@ -63,7 +63,7 @@
                  "prompt_quarantine_part_that_survives_is_not_quarantined") {
   for (int i = 0; i < 5; ++i) {
     const Time crash = at(i * 1'000L);
-    Quarantine.recordLoss(prompt({Root}), process("e-" + std::to_string(i)),
+    Quarantine.recordLoss({}, prompt({Root}), process("e-" + std::to_string(i)),
                           crash);
     Quarantine.recordSurvival(prompt({Root}), crash + milliseconds(10),
                               crash + milliseconds(400));
@@ -75,10 +75,10 @@
 TEST_CASE_METHOD(
     PromptQuarantineFixture,
     "prompt_quarantine_response_sent_before_crash_does_not_acquit") {
-  Quarantine.recordLoss(prompt({Deadly}), process("e-0"), at(1'000));
+  Quarantine.recordLoss({}, prompt({Deadly}), process("e-0"), at(1'000));
   Quarantine.recordSurvival(prompt({Deadly}), at(900), at(1'400));
-  Quarantine.recordLoss(prompt({Deadly}), process("e-1"), at(2'000));
-  Quarantine.recordLoss(prompt({Deadly}), process("e-2"), at(3'000));
+  Quarantine.recordLoss({}, prompt({Deadly}), process("e-1"), at(2'000));
+  Quarantine.recordLoss({}, prompt({Deadly}), process("e-2"), at(3'000));
   Quarantine.update(at(4'000));
   CHECK(isQuarantined(Deadly, at(4'000)));
 }
@@ -86,7 +86,7 @@
 TEST_CASE_METHOD(PromptQuarantineFixture,
                  "prompt_quarantine_engines_that_end_together_count_once") {
   for (int i = 0; i < 9; ++i) {
-    Quarantine.recordLoss(prompt({Root}), process("e-" + std::to_string(i)),
+    Quarantine.recordLoss({}, prompt({Root}), process("e-" + std::to_string(i)),
                           at(5L * i));
   }
   Quarantine.update(at(3'000));
@@ -96,7 +96,7 @@
 TEST_CASE_METHOD(PromptQuarantineFixture,
                  "prompt_quarantine_many_prompts_of_one_crash_count_once") {
   for (int i = 0; i < 9; ++i) {
-    Quarantine.recordLoss(prompt({Root}), process("e-1"), at(i * 200L));
+    Quarantine.recordLoss({}, prompt({Root}), process("e-1"), at(i * 200L));
   }
   Quarantine.update(at(3'000));
   CHECK_FALSE(isQuarantined(Root, at(3'000)));
@@ -104,9 +104,9 @@
 
 TEST_CASE_METHOD(PromptQuarantineFixture,
                  "prompt_quarantine_suspected_prompt_is_not_repeated") {
-  Quarantine.recordLoss(prompt({Root, Deadly}), process("e-1"), at(0));
+  Quarantine.recordLoss({}, prompt({Root, Deadly}), process("e-1"), at(0));
   CHECK(Quarantine.mayRepeat(prompt({Root, Deadly}), at(1)));
-  Quarantine.recordLoss(prompt({Root, Deadly}), process("e-2"), at(500));
+  Quarantine.recordLoss({}, prompt({Root, Deadly}), process("e-2"), at(500));
   CHECK_FALSE(Quarantine.mayRepeat(prompt({Root, Deadly}), at(501)));
   CHECK(Quarantine.mayRepeat(prompt({33}), at(501)));
   // The root is sound.
@@ -121,7 +121,7 @@
   for (std::int64_t ms = 3'000; ms < 300'000; ms += 50) {
     if (!Quarantine.findQuarantined(prompt({Root, Deadly}), at(ms))) {
       Quarantine.recordSent(prompt({Root, Deadly}), at(ms));
-      Quarantine.recordLoss(prompt({Root, Deadly}), process("e-3", ms), at(ms));
+      Quarantine.recordLoss({}, prompt({Root, Deadly}), process("e-3", ms), at(ms));
       ++trials;
     }
   }
@@ -180,10 +180,10 @@
   for (int i = 0; i < 3; ++i) {
     for (std::uint64_t part = 0; part < 60; ++part) {
       Quarantine.recordLoss(
-          prompt({1'000 + 100 * static_cast<std::uint64_t>(i) + part}),
+          {}, prompt({1'000 + 100 * static_cast<std::uint64_t>(i) + part}),
           process("e-" + std::to_string(i)), at(i * 1'000L));
     }
-    Quarantine.recordLoss(prompt({Deadly}), process("e-" + std::to_string(i)),
+    Quarantine.recordLoss({}, prompt({Deadly}), process("e-" + std::to_string(i)),
                           at(i * 1'000L));
   }
   Quarantine.update(at(3'000));
--- a/packages/routing/test/request_lifecycle_test.cpp
+++ b/packages/routing/test/request_lifecycle_test.cpp
@@ -28,7 +28,7 @@
     admission.Route = &Config->Routes[1];
     admission.Pool = PoolId{"desk"};
     admission.TimeLimit = milliseconds(1'500);
-    return {admission, PromptDescription(), at(0)};
+    return {admission, PromptDescription(), RequestIdentity(), at(0)};
   }
   /// Sends an attempt whose target states `result`; returns whether another may
   /// follow.
--- a/packages/simulation/src/virtual_router.cpp
+++ b/packages/simulation/src/virtual_router.cpp
@@ -344,7 +344,8 @@
     }
     CallInFlight &inFlight = CallsInFlight[call];
     inFlight.Admitted = std::get<Admission>(admitted);
-    inFlight.Lifecycle.emplace(inFlight.Admitted, prompt, now);
+    inFlight.Lifecycle.emplace(inFlight.Admitted, prompt,
+                               routing::RequestIdentity(), now);
     Dispatcher->recordRequest(inFlight.Lifecycle->dispatchRequest(), now);
     dispatch(call);
   });
