Keep a request that crashes its targets from further ones

Cause: only a prompt part could be blamed for crashes. Now the narrowest cause that explains them is: a request, by a hash of team, method, host, path, query and body, and a part only if crashes come under it with three different requests. `prompt_quarantine` becomes `crash_quarantine` and `crash_evidence`; one evidence, exchange, place of trials and lapse for both.

422 as for parts: with 503 callers of a wrongly blamed request would repeat it against the same verdict until a trial, and gain nothing.

Tests changed: the cases of prompt_quarantine are those of crash_quarantine, with an identity of its own for each prompt; the codec's round trip covers requests too. `gateway_crash_test` was not run, neither here nor on the code before.

--- a/packages/ctl/src/explain.cpp
+++ b/packages/ctl/src/explain.cpp
@@ -56,6 +56,15 @@
                            record.readText("kind") == "process";
   const std::int64_t begin =
       request.TimestampMs - std::max<std::int64_t>(0, request.readNumber("ms"));
+  // A quarantine may be decided long before a request.
+  const std::string reason = request.readText("reason");
+  for (const char *name : {"request", "part"}) {
+    const std::string hash = record.readText(name);
+    if (contextKind && !hash.empty() &&
+        reason.find(hash) != std::string::npos) {
+      return true;
+    }
+  }
   const bool near = record.TimestampMs >= begin - ContextWindowMs &&
                     record.TimestampMs <= request.TimestampMs + ContextWindowMs;
   return contextKind && near &&
@@ -72,6 +81,16 @@
            "belief limit_stated: " +
            reason;
   }
+  if (reason.starts_with("request_quarantined")) {
+    return "targets ended each time that they ran this request, which did not "
+           "run now; see belief request_quarantined: " +
+           reason;
+  }
+  if (reason.starts_with("prompt_quarantined")) {
+    return "engines ended under different requests with a part of this prompt, "
+           "which did not run; see belief prompt_part_quarantined: " +
+           reason;
+  }
   if (outcome == "refused") {
     return "the router refused the request, which did not run: " + reason;
   }
--- a/packages/ctl/test/explain_test.cpp
+++ b/packages/ctl/test/explain_test.cpp
@@ -17,6 +17,7 @@
   const std::string Log =
       R"(not a line
   1.5 host-1 {"ts_ms":1000,"host":"host-1","kind":"belief","what":"store_lost"}
+{"ts_ms":1100,"host":"host-2","kind":"belief","what":"request_quarantined","request":"00000000000000ab","crashes":"3"}
 {"ts_ms":2000,"host":"host-1","kind":"request","what":"dispatched","id":"a","target":"t-1","expected_ms":"100"}
 {"ts_ms":2600,"host":"host-1","kind":"request","what":"ended","id":"a","outcome":"complete","first_ms":"500","ms":"600"}
 {"ts_ms":3000,"host":"host-1","kind":"request","what":"ended","id":"b","outcome":"refused","reason":"overloaded","ms":"0"}
@@ -24,6 +25,7 @@
 {"ts_ms":4000,"host":"host-1","kind":"request","what":"dispatched","id":"c","target":"t-2","expected_ms":"100"}
 {"ts_ms":4100,"host":"host-1","kind":"request","what":"ended","id":"c","outcome":"broken","reason":"stream cut","ms":"100"}
 {"ts_ms":4200,"host":"host-2","kind":"belief","what":"target_gone","target":"t-2"}
+{"ts_ms":60000,"host":"host-1","kind":"request","what":"ended","id":"e","outcome":"failed","status":"422","reason":"request_quarantined, request 00000000000000ab, crashes 3","ms":"0"}
 )";
 };
 
@@ -36,6 +38,13 @@
   CHECK(explain("d").find("belief limit_stated") != std::string::npos);
 }
 
+TEST_CASE_METHOD(ExplainFixture,
+                 "explain_quarantined_request_shows_evidence_of_any_router") {
+  const std::string text = explain("e");
+  CHECK(text.find("targets ended each time") != std::string::npos);
+  CHECK(text.find("\"crashes\":\"3\"") != std::string::npos);
+}
+
 TEST_CASE_METHOD(ExplainFixture, "explain_late_request_names_the_target") {
   const std::string text = explain("a");
   CHECK(text.find("t-1 responded later") != std::string::npos);
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -13,24 +13,36 @@
       std::max<std::int64_t>(0, toMilliseconds(age)));
 }
 
+bool isRequest(const routing::CrashCause &cause) {
+  return cause.Type == routing::CrashCause::Kind::Request;
+}
+
 void encode(const routing::QuarantineReport &report, wire::LoadReport &out) {
-  for (const routing::LostPrompt &it : report.Lost) {
-    wire::LostPrompt *entry = out.add_lost();
+  for (const routing::LostRequest &it : report.Lost) {
+    wire::LostRequest *entry =
+        it.Parts.empty() ? out.add_lost_plain() : out.add_lost_prompts();
     entry->set_target(it.Process.Target.Text);
     entry->set_started_at_ms(it.Process.StartedAtMs);
     entry->set_age_ms(ageToWire(it.Age));
     entry->mutable_parts()->Add(it.Parts.begin(), it.Parts.end());
+    entry->set_request(it.Request);
+    entry->set_running_ms(ageToWire(it.Running));
   }
-  for (const routing::SurvivedPart &it : report.Survived) {
-    wire::SurvivedPart *entry = out.add_survived();
-    entry->set_part(it.Part);
+  for (const routing::SurvivedCause &it : report.Survived) {
+    wire::SurvivedCause *entry = isRequest(it.Cause)
+                                     ? out.add_survived_requests()
+                                     : out.add_survived_parts();
+    entry->set_hash(it.Cause.Hash);
     entry->set_age_ms(ageToWire(it.Age));
   }
-  for (const routing::QuarantinedPart &it : report.Quarantined) {
-    wire::QuarantinedPart *entry = out.add_quarantined();
-    entry->set_part(it.Part);
+  for (const routing::QuarantinedCause &it : report.Quarantined) {
+    wire::QuarantinedCause *entry = isRequest(it.Cause)
+                                        ? out.add_quarantined_requests()
+                                        : out.add_quarantined_parts();
+    entry->set_hash(it.Cause.Hash);
     entry->set_age_ms(ageToWire(it.Age));
     entry->set_trials(it.Trials);
+    entry->set_crash_age_ms(ageToWire(it.CrashAge));
   }
 }
 
@@ -110,19 +122,48 @@
   message.mutable_stamp()->set_stamp_us(stamp.Stamp.time_since_epoch().count());
 }
 
+routing::LostRequest decode(const wire::LostRequest &in) {
+  return {{TargetId{in.target()}, in.started_at_ms()},
+          milliseconds(in.age_ms()),
+          in.request(),
+          {in.parts().begin(), in.parts().end()},
+          milliseconds(in.running_ms())};
+}
+
+routing::SurvivedCause decode(const wire::SurvivedCause &in,
+                              routing::CrashCause::Kind type) {
+  return {{type, in.hash()}, milliseconds(in.age_ms())};
+}
+
+routing::QuarantinedCause decode(const wire::QuarantinedCause &in,
+                                 routing::CrashCause::Kind type) {
+  return {
+      {type, in.hash()},
+      milliseconds(in.age_ms()),
+      in.trials(),
+      milliseconds(in.has_crash_age_ms() ? in.crash_age_ms() : in.age_ms())};
+}
+
 routing::QuarantineReport decodeQuarantine(const wire::LoadReport &in) {
+  using Kind = routing::CrashCause::Kind;
   routing::QuarantineReport out;
-  for (const wire::LostPrompt &it : in.lost()) {
-    out.Lost.push_back({{TargetId{it.target()}, it.started_at_ms()},
-                        milliseconds(it.age_ms()),
-                        {it.parts().begin(), it.parts().end()}});
+  for (const wire::LostRequest &it : in.lost_prompts()) {
+    out.Lost.push_back(decode(it));
+  }
+  for (const wire::LostRequest &it : in.lost_plain()) {
+    out.Lost.push_back(decode(it));
+  }
+  for (const wire::SurvivedCause &it : in.survived_parts()) {
+    out.Survived.push_back(decode(it, Kind::PromptPart));
+  }
+  for (const wire::SurvivedCause &it : in.survived_requests()) {
+    out.Survived.push_back(decode(it, Kind::Request));
   }
-  for (const wire::SurvivedPart &it : in.survived()) {
-    out.Survived.push_back({it.part(), milliseconds(it.age_ms())});
+  for (const wire::QuarantinedCause &it : in.quarantined_parts()) {
+    out.Quarantined.push_back(decode(it, Kind::PromptPart));
   }
-  for (const wire::QuarantinedPart &it : in.quarantined()) {
-    out.Quarantined.push_back(
-        {it.part(), milliseconds(it.age_ms()), it.trials()});
+  for (const wire::QuarantinedCause &it : in.quarantined_requests()) {
+    out.Quarantined.push_back(decode(it, Kind::Request));
   }
   return out;
 }
--- a/packages/gateway/test/peer_codec_test.cpp
+++ b/packages/gateway/test/peer_codec_test.cpp
@@ -47,25 +47,41 @@
 
 TEST_CASE_METHOD(PeerCodecFixture, "peer_codec_quarantine_round_trips") {
   routing::LoadReport report;
+  using routing::CrashCause;
+  const CrashCause request{CrashCause::Kind::Request, 5};
+  const CrashCause part{CrashCause::Kind::PromptPart, 7};
+  const routing::TargetProcess process{TargetId{"e-1"}, 1'791'368'900'847};
   report.Quarantine.Lost = {
-      {{TargetId{"e-1"}, 1'791'368'900'847}, milliseconds(1'234), {1, 7}}};
-  report.Quarantine.Survived = {{1, milliseconds(20)}};
-  report.Quarantine.Quarantined = {{7, milliseconds(3'000'000), 2}};
+      {process, milliseconds(1'234), 5, {1, 7}, milliseconds(56)},
+      {process, milliseconds(1'235), 6, {}, milliseconds(57)}};
+  report.Quarantine.Survived = {{part, milliseconds(20)},
+                                {request, milliseconds(21)}};
+  report.Quarantine.Quarantined = {
+      {part, milliseconds(3'000'000), 2, milliseconds(3'000'900)},
+      {request, milliseconds(30), 0, milliseconds(1'030)}};
   CHECK_FALSE(report.isEmpty());
   const std::optional<routing::LoadReport> decoded = roundTrip(report);
   REQUIRE(decoded);
   const routing::QuarantineReport &out = decoded->Quarantine;
-  REQUIRE(out.Lost.size() == 1);
-  CHECK(out.Lost[0].Process == report.Quarantine.Lost[0].Process);
-  CHECK(out.Lost[0].Age == milliseconds(1'234));
-  CHECK(out.Lost[0].Parts == report.Quarantine.Lost[0].Parts);
-  REQUIRE(out.Survived.size() == 1);
-  CHECK(out.Survived[0].Part == 1);
-  CHECK(out.Survived[0].Age == milliseconds(20));
-  REQUIRE(out.Quarantined.size() == 1);
-  CHECK(out.Quarantined[0].Part == 7);
-  CHECK(out.Quarantined[0].Age == milliseconds(3'000'000));
-  CHECK(out.Quarantined[0].Trials == 2);
+  REQUIRE(out.Lost.size() == 2);
+  REQUIRE(out.Survived.size() == 2);
+  REQUIRE(out.Quarantined.size() == 2);
+  for (std::size_t i = 0; i < 2; ++i) {
+    const routing::LostRequest &lost = report.Quarantine.Lost[i];
+    CHECK(out.Lost[i].Process == lost.Process);
+    CHECK(out.Lost[i].Age == lost.Age);
+    CHECK(out.Lost[i].Request == lost.Request);
+    CHECK(out.Lost[i].Parts == lost.Parts);
+    CHECK(out.Lost[i].Running == lost.Running);
+    const routing::SurvivedCause &survived = report.Quarantine.Survived[i];
+    CHECK(out.Survived[i].Cause == survived.Cause);
+    CHECK(out.Survived[i].Age == survived.Age);
+    const routing::QuarantinedCause &kept = report.Quarantine.Quarantined[i];
+    CHECK(out.Quarantined[i].Cause == kept.Cause);
+    CHECK(out.Quarantined[i].Age == kept.Age);
+    CHECK(out.Quarantined[i].Trials == kept.Trials);
+    CHECK(out.Quarantined[i].CrashAge == kept.CrashAge);
+  }
 }
 
 TEST_CASE_METHOD(PeerCodecFixture, "peer_codec_limits_round_trip") {
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -2,13 +2,13 @@
 /// time is an argument.
 #pragma once
 
+#include "nutmegsill/routing/crash_quarantine.h"
 #include "nutmegsill/routing/load_report.h"
 #include "nutmegsill/routing/model.h"
 #include "nutmegsill/routing/peer_loads.h"
 #include "nutmegsill/routing/prefill_rate.h"
 #include "nutmegsill/routing/prefix_cache_tracker.h"
 #include "nutmegsill/routing/prompt.h"
-#include "nutmegsill/routing/prompt_quarantine.h"
 #include "nutmegsill/routing/report_recipients.h"
 #include "nutmegsill/routing/request_identity.h"
 #include "nutmegsill/routing/retry_budget.h"
@@ -76,6 +76,8 @@
   TargetsLimited,
   /// The targets state that they take nothing for a while.
   TargetsPaused,
+  /// Targets have ended each time that they ran the request.
+  RequestQuarantined,
   /// Engines have ended under a part of the prompt.
   PromptQuarantined,
 };
@@ -86,6 +88,8 @@
   Duration RetryAfter{0};
   Duration ExpectedFirstEvent{0};
   double FairShareUsage = 0;
+  /// The quarantined request or part, and what is known against it.
+  std::string Evidence;
 };
 
 using DispatchDecision = std::variant<Assignment, Rejection>;
@@ -217,17 +221,17 @@
   void recordStatement(const Assignment &assignment,
                        const TargetStatement &statement, Time now);
   /// Records that the target ended before the response had lasted.
-  void recordLost(const DispatchRequest &request,
-                        const Assignment &assignment, Time now);
+  void recordLost(const DispatchRequest &request, const Assignment &assignment,
+                  Time now);
   /// Records that the response has lasted, or is complete.
   void recordSurvived(const DispatchRequest &request,
-                            const Assignment &assignment, Time now);
-  /// Whether the prompt of a request whose engine ended may be sent again.
-  bool mayRepeatPrompt(const DispatchRequest &request, Time now) const {
-    return Quarantine.mayRepeat(request.Prompt, now);
+                      const Assignment &assignment, Time now);
+  /// Whether a request whose target ended may be sent again.
+  bool mayRepeat(const DispatchRequest &request, Time now) const {
+    return Quarantine.mayRepeat(suspectOf(request), now);
   }
-  /// Returns and clears the changes of the quarantine of prompt parts and of
-  /// what targets state.
+  /// Returns and clears the changes of the quarantine and of what targets
+  /// state.
   std::vector<FleetChange> takeChanges();
 
   /// Returns the reports to send and clears the unreported prompts. Also
@@ -296,6 +300,10 @@
     double Cost = 0;
   };
 
+  /// Only engines are asked for prompts.
+  SuspectRequest suspectOf(const DispatchRequest &request) const;
+  std::optional<Rejection> rejectQuarantined(const DispatchRequest &request,
+                                             Time now) const;
   static TargetProcess processOf(const TargetState &state) {
     return {state.Known.Entry.Target, state.Known.Entry.StartedAtMs};
   }
@@ -382,7 +390,7 @@
   /// Time when the peers' rates were last summed up for `Shares`.
   std::optional<Time> SharesUpdatedAt;
   PrefixCacheTracker Caches;
-  PromptQuarantine Quarantine;
+  CrashQuarantine Quarantine;
   TargetStatements Statements;
   bool IsPreferred = true;
   ReportRecipients Recipients;
--- a/packages/routing/include/nutmegsill/routing/load_report.h
+++ b/packages/routing/include/nutmegsill/routing/load_report.h
@@ -1,7 +1,7 @@
 /// Load reports that routers exchange.
 #pragma once
 
-#include "nutmegsill/routing/prompt_quarantine.h"
+#include "nutmegsill/routing/crash_quarantine.h"
 #include "nutmegsill/routing/target_statements.h"
 #include "nutmegsill/routing/team_share.h"
 #include "nutmegsill/types.h"
@@ -59,8 +59,7 @@
   QuarantineReport Quarantine;
   std::vector<StatementReport> Statements;
 
-  /// Whether there is nothing to tell of targets, teams, prompts that crash
-  /// engines, and limits.
+  /// Whether there is nothing to tell of targets, teams, crashes and limits.
   bool isEmpty() const {
     return Targets.empty() && Teams.empty() && Quarantine.isEmpty() &&
            Statements.empty();
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -54,6 +54,8 @@
     return "targets_limited";
   case RejectionReason::TargetsPaused:
     return "targets_paused";
+  case RejectionReason::RequestQuarantined:
+    return "request_quarantined";
   case RejectionReason::PromptQuarantined:
     return "prompt_quarantined";
   }
@@ -259,7 +261,8 @@
                          : RejectionReason::NoTarget,
                    std::max(retryAfter, pause.value_or(Duration{0})),
                    {},
-                   0};
+                   0,
+                   {}};
 }
 
 Rejection Dispatcher::rejectForLimits(const DispatchRequest &request,
@@ -277,7 +280,8 @@
   return Rejection{RejectionReason::TargetsLimited,
                    std::max(MinLimitRetryAfter, pool.LastReturnAt - now),
                    {},
-                   0};
+                   0,
+                   {}};
 }
 
 Assignment Dispatcher::assign(TargetState &state,
@@ -307,17 +311,17 @@
   const std::size_t routers = View->Routers.size();
   if (request.IsRetry && !Budget.allowsRetry(request.Pool, routers, now)) {
     return Rejection{
-        RejectionReason::RetryBudget, ExhaustedBudgetRetryAfter, {}, 0};
+        RejectionReason::RetryBudget, ExhaustedBudgetRetryAfter, {}, 0, {}};
   }
-  const PoolRule *pool = View->Config->findPool(request.Pool);
-  const bool toEngine = pool != nullptr && pool->Engine;
-  if (toEngine && Quarantine.findQuarantined(request.Prompt, now)) {
-    return Rejection{RejectionReason::PromptQuarantined, {}, {}, 0};
+  if (const std::optional<Rejection> it = rejectQuarantined(request, now)) {
+    return *it;
   }
-  DispatchDecision decision =
-      toEngine ? chooseEngine(request, now) : chooseService(request, now);
-  if (toEngine && std::holds_alternative<Assignment>(decision)) {
-    Quarantine.recordSent(request.Prompt, now);
+  const PoolRule *pool = View->Config->findPool(request.Pool);
+  DispatchDecision decision = pool != nullptr && pool->Engine
+                                  ? chooseEngine(request, now)
+                                  : chooseService(request, now);
+  if (std::holds_alternative<Assignment>(decision)) {
+    Quarantine.recordSent(suspectOf(request), now);
   }
   if (request.IsRetry && std::holds_alternative<Assignment>(decision)) {
     Budget.recordRetry(request.Pool, now);
@@ -442,17 +446,6 @@
   return out;
 }
 
-void Dispatcher::recordLost(const DispatchRequest &request,
-                            const Assignment &assignment, Time now) {
-  Quarantine.recordLoss(request.Identity, request.Prompt,
-                        {assignment.Target, assignment.TargetStartedAtMs}, now);
-}
-
-void Dispatcher::recordSurvived(const DispatchRequest &request,
-                                const Assignment &assignment, Time now) {
-  Quarantine.recordSurvival(request.Prompt, assignment.SentAt, now);
-}
-
 OutgoingReports Dispatcher::collectReports(Time now, bool forRemotePeers) {
   Caches.expire(now);
   Peers.expire(now);
--- a/packages/routing/src/request_lifecycle.cpp
+++ b/packages/routing/src/request_lifecycle.cpp
@@ -84,8 +84,8 @@
 }
 
 void RequestLifecycle::recordLossOrSurvival(Dispatcher &dispatcher,
-                                           const Assignment &assignment,
-                                           ExchangeResult result, Time now) {
+                                            const Assignment &assignment,
+                                            ExchangeResult result, Time now) {
   if (Survived) {
     return;
   }
@@ -130,16 +130,18 @@
     return false;
   }
   if (outcome.Result == ExchangeResult::TargetEnded &&
-      !dispatcher.mayRepeatPrompt(Request, now)) {
+      !dispatcher.mayRepeat(Request, now)) {
     return false;
   }
   return !outcome.ResponseStarted || outcome.MayResume;
 }
 
 LocalResponse RequestLifecycle::localResponse() const {
-  if (SentAttempts == 0 && LastRejection &&
-      LastRejection->Reason == RejectionReason::PromptQuarantined) {
-    return {422, rejectionReasonName(LastRejection->Reason), std::nullopt};
+  if (SentAttempts == 0 && LastRejection && !LastRejection->Evidence.empty()) {
+    return {422,
+            std::string(rejectionReasonName(LastRejection->Reason)) + ", " +
+                LastRejection->Evidence,
+            std::nullopt};
   }
   if (SentAttempts == 0 && LastRejection) {
     // Tells a team that asks for too much from a fleet that lacks capacity.
--- a/packages/routing/test/prompt_lifecycle_test.cpp
+++ b/packages/routing/test/prompt_lifecycle_test.cpp
@@ -127,7 +127,10 @@
 TEST_CASE_METHOD(PromptLifecycleFixture,
                  "dispatcher_part_that_a_peer_quarantined_is_rejected") {
   LoadReport report;
-  report.Quarantine.Quarantined = {{Deadly, milliseconds(10), 0}};
+  report.Quarantine.Quarantined = {{{CrashCause::Kind::PromptPart, Deadly},
+                                    milliseconds(10),
+                                    0,
+                                    milliseconds(10)}};
   TestedDispatcher.receiveReport(HostId{"host-2"}, report, at(0));
   RequestLifecycle lifecycle = start({Root, Deadly}, at(1));
   CHECK(std::holds_alternative<Rejection>(
--- a/packages/standins/src/target_standin.cpp
+++ b/packages/standins/src/target_standin.cpp
@@ -24,6 +24,11 @@
          mode <= TargetMode::UnframedStreamsReset;
 }
 
+bool isDeadly(const ServerRequest &request) {
+  return request.target().find("deadly") != std::string::npos ||
+         request.body().find("deadly") != std::string::npos;
+}
+
 std::string headerField(const ServerRequest &request, const char *name) {
   const auto it = request.find(name);
   return it == request.end() ? std::string() : std::string(it->value());
@@ -154,6 +159,10 @@
     exchange.resetConnection();
   } else if (mode == TargetMode::Hanging) {
     co_await exchange.sleep(HangDuration);
+  } else if (mode == TargetMode::Ending && isDeadly(exchange.Request)) {
+    Ended = true;
+    Io.stop();
+    co_await exchange.sleep(HangDuration);
   } else if (mode >= TargetMode::EndlessHeader) {
     co_await sendEndlessly(exchange, received, mode);
   } else if (exchange.Request.target().starts_with("/stream/")) {
--- a/packages/standins/src/target_standin.h
+++ b/packages/standins/src/target_standin.h
@@ -60,6 +60,8 @@
   /// Runs the request and sends no response; does not read the connection
   /// for 20 s.
   Hanging,
+  /// Ends with a request whose path or body contains "deadly".
+  Ending,
   // The modes below run the request and send bytes until the caller closes.
   /// A header field without an end.
   EndlessHeader,
@@ -108,6 +110,9 @@
   std::uint64_t endlessBytesSent() const { return EndlessBytesSent; }
   /// Connections on which such a mode still sends.
   int endlessConnections() const { return EndlessConnections; }
+  /// The target serves nothing any more; its connections end when it is
+  /// destroyed.
+  bool hasEnded() const { return Ended; }
   /// Number of times the target ran the request.
   int runCount(const std::string &requestId) const;
   /// The target's entry in the store, as JSON. A non-empty `address` replaces
@@ -159,6 +164,7 @@
   std::map<std::string, int> RunCounts;
   std::atomic<std::uint64_t> EndlessBytesSent{0};
   std::atomic<int> EndlessConnections{0};
+  std::atomic<bool> Ended{false};
   boost::asio::io_context Io{1};
   std::thread Thread;
 };
