Count only trials that a target may have run

A trial of a quarantined request or part was counted when its target was chosen. If that was unreachable, refused it, or had only been reserved, the trial was used up, the request on trial was rejected at its next target, and three such trials barred a request that may be sound for an hour. Trials that no target ran are taken back. Routers that reach a verdict by themselves take the earliest time of it, so that they agree on whose turn a trial is.

Found by reading in the review.

--- a/packages/routing/include/nutmegsill/routing/crash_quarantine.h
+++ b/packages/routing/include/nutmegsill/routing/crash_quarantine.h
@@ -101,9 +101,11 @@
                                             Time now) const;
   /// Crashes that led to a quarantine, as far as this router knows them.
   std::size_t crashCount(const CrashCause &cause) const;
-  /// Records that a request is sent; counts it as a trial if it has a
-  /// quarantined cause.
-  void recordSent(const SuspectRequest &request, Time now);
+  /// Records that a request is about to be sent; counts it as a trial, and
+  /// returns true, if it has a quarantined cause.
+  bool recordSent(const SuspectRequest &request, Time now);
+  /// Takes a trial back that no target ran.
+  void withdrawTrial(const SuspectRequest &request);
   /// Whether a request that was lost may be sent to another target.
   bool mayRepeat(const SuspectRequest &request, Time now) const;
 
@@ -128,6 +130,8 @@
     std::uint32_t Trials = 0;
     Time LastCrashAt{};
     std::size_t Crashes = 0;
+    /// `Since` before the last trial, if that was of this router.
+    std::optional<Time> SinceBeforeTrial = std::nullopt;
   };
 
   /// The quarantined causes that the request has.
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -64,6 +64,8 @@
   /// Requests per second that the target states it takes; nothing without a
   /// limit.
   std::optional<double> StatedRate;
+  /// The request is a trial of a quarantined cause.
+  bool IsTrial = false;
 };
 
 /// Why no target was chosen for a request.
@@ -220,6 +222,10 @@
   /// Records what the response's header states of the target.
   void recordStatement(const Assignment &assignment,
                        const TargetStatement &statement, Time now);
+  /// Takes back that the request was a trial of a quarantined cause, as no
+  /// target ran it.
+  void withdrawTrial(const DispatchRequest &request,
+                     const Assignment &assignment);
   /// Records that the target ended before the response had lasted.
   void recordLost(const DispatchRequest &request, const Assignment &assignment,
                   Time now);
--- a/packages/routing/include/nutmegsill/routing/request_lifecycle.h
+++ b/packages/routing/include/nutmegsill/routing/request_lifecycle.h
@@ -61,8 +61,9 @@
 private:
   bool mayRetry(const Dispatcher &dispatcher, const AttemptOutcome &outcome,
                 Time now) const;
-  void recordLossOrSurvival(Dispatcher &dispatcher, const Assignment &assignment,
-                           ExchangeResult result, Time now);
+  void recordLossOrSurvival(Dispatcher &dispatcher,
+                            const Assignment &assignment, ExchangeResult result,
+                            Time now);
 
   DispatchRequest Request;
   Time ArrivedAt;
--- a/packages/routing/src/crash_quarantine.cpp
+++ b/packages/routing/src/crash_quarantine.cpp
@@ -256,14 +256,26 @@
   return it == Quarantined.end() ? 0 : it->second.Crashes;
 }
 
-void CrashQuarantine::recordSent(const SuspectRequest &request, Time now) {
-  for (const CrashCause &it : quarantinedOf(request)) {
+bool CrashQuarantine::recordSent(const SuspectRequest &request, Time now) {
+  const std::vector<CrashCause> causes = quarantinedOf(request);
+  for (const CrashCause &it : causes) {
     Quarantine &known = Quarantined.at(it);
-    known.Since = now;
+    known.SinceBeforeTrial = std::exchange(known.Since, now);
     ++known.Trials;
     Changes.push_back(
         change(it, "tried", {{"trials", std::to_string(known.Trials)}}));
   }
+  return !causes.empty();
+}
+
+void CrashQuarantine::withdrawTrial(const SuspectRequest &request) {
+  for (const CrashCause &it : quarantinedOf(request)) {
+    Quarantine &known = Quarantined.at(it);
+    if (known.SinceBeforeTrial) {
+      known.Since = *std::exchange(known.SinceBeforeTrial, std::nullopt);
+      --known.Trials;
+    }
+  }
 }
 
 bool CrashQuarantine::mayRepeat(const SuspectRequest &request, Time now) const {
@@ -301,9 +313,14 @@
   }
   const auto known = Quarantined.find(cause);
   if (known != Quarantined.end()) {
-    if (quarantined.Trials > known->second.Trials) {
-      known->second.Since = since;
-      known->second.Trials = quarantined.Trials;
+    Quarantine &own = known->second;
+    if (quarantined.Trials > own.Trials) {
+      own.Since = since;
+      own.Trials = quarantined.Trials;
+      own.SinceBeforeTrial.reset();
+    } else if (quarantined.Trials == own.Trials) {
+      // Routers that decide by themselves agree on the turns of trials.
+      own.Since = std::min(own.Since, since);
     }
     return;
   }
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -320,11 +320,11 @@
   DispatchDecision decision = pool != nullptr && pool->Engine
                                   ? chooseEngine(request, now)
                                   : chooseService(request, now);
-  if (std::holds_alternative<Assignment>(decision)) {
-    Quarantine.recordSent(suspectOf(request), now);
-  }
-  if (request.IsRetry && std::holds_alternative<Assignment>(decision)) {
-    Budget.recordRetry(request.Pool, now);
+  if (Assignment *it = std::get_if<Assignment>(&decision)) {
+    it->IsTrial = Quarantine.recordSent(suspectOf(request), now);
+    if (request.IsRetry) {
+      Budget.recordRetry(request.Pool, now);
+    }
   }
   return decision;
 }
--- a/packages/routing/src/dispatcher_crashes.cpp
+++ b/packages/routing/src/dispatcher_crashes.cpp
@@ -26,6 +26,13 @@
   return out;
 }
 
+void Dispatcher::withdrawTrial(const DispatchRequest &request,
+                               const Assignment &assignment) {
+  if (assignment.IsTrial) {
+    Quarantine.withdrawTrial(suspectOf(request));
+  }
+}
+
 void Dispatcher::recordLost(const DispatchRequest &request,
                             const Assignment &assignment, Time now) {
   Quarantine.recordLoss(suspectOf(request),
--- a/packages/routing/src/request_lifecycle.cpp
+++ b/packages/routing/src/request_lifecycle.cpp
@@ -69,6 +69,7 @@
 void RequestLifecycle::releaseReserved(Dispatcher &dispatcher, Time now) {
   if (Reserved) {
     dispatcher.recordResult(*Reserved, ExchangeResult::Cancelled, now);
+    dispatcher.withdrawTrial(Request, *Reserved);
     Reserved.reset();
   }
 }
@@ -106,6 +107,10 @@
   const bool misdirected = outcome.Result == ExchangeResult::Misdirected;
   // Targets count the arrival as a repetition, although nothing ran.
   Request.IsRetry = Request.IsRetry || misdirected;
+  if (!outcome.RequestSent || misdirected ||
+      outcome.Result == ExchangeResult::Refused) {
+    dispatcher.withdrawTrial(Request, assignment);
+  }
   if (!outcome.RequestSent || misdirected) {
     return ++UnsentAttempts < MaxUnsentAttempts && !outcome.Abandoned &&
            remainingTime(now) > Duration{0};
--- a/packages/routing/test/crash_quarantine_test.cpp
+++ b/packages/routing/test/crash_quarantine_test.cpp
@@ -160,6 +160,37 @@
   CHECK_FALSE(isQuarantined(Deadly, at(ms + 401)));
 }
 
+// Guards against trials that are used up although no target ran the request.
+TEST_CASE_METHOD(CrashQuarantineFixture,
+                 "crash_quarantine_withdrawn_trial_is_due_again") {
+  crashThreeTimes();
+  const OwnedRequest request = prompt({Root, Deadly});
+  std::int64_t due = 3'000;
+  while (isQuarantined(Deadly, at(due))) {
+    due += 50;
+  }
+  for (int i = 0; i < 5; ++i) {
+    CHECK(Quarantine.recordSent(request, at(due)));
+    CHECK(isQuarantined(Deadly, at(due)));
+    Quarantine.withdrawTrial(request);
+    CHECK_FALSE(isQuarantined(Deadly, at(due)));
+  }
+  CHECK(Quarantine.takeOwnReport(at(due)).Quarantined.at(0).Trials == 0);
+  CHECK_FALSE(Quarantine.recordSent(prompt({Root}), at(due)));
+}
+
+TEST_CASE_METHOD(CrashQuarantineFixture,
+                 "crash_quarantine_routers_agree_on_the_time_of_a_verdict") {
+  Quarantine.receive(
+      {{}, {}, {{partCause(Deadly), milliseconds(100), 0, Duration{0}}}}, false,
+      at(1'000));
+  Quarantine.receive(
+      {{}, {}, {{partCause(Deadly), milliseconds(900), 0, Duration{0}}}}, false,
+      at(1'200));
+  CHECK(Quarantine.takeOwnReport(at(1'200)).Quarantined.at(0).Age ==
+        milliseconds(900));
+}
+
 TEST_CASE_METHOD(CrashQuarantineFixture,
                  "crash_quarantine_only_one_router_has_the_turn_of_a_trial") {
   const std::vector<HostId> hosts{HostId{"host-1"}, HostId{"host-2"},
