Repeat no suspected request, however its attempt ended

With a lost packet, or a target that takes longer to end, a request under which two targets had ended went to a third at once.

Found by reading in the review.

--- a/packages/routing/src/request_lifecycle.cpp
+++ b/packages/routing/src/request_lifecycle.cpp
@@ -134,8 +134,7 @@
       !Request.Route->allowsRetry()) {
     return false;
   }
-  if (outcome.Result == ExchangeResult::TargetEnded &&
-      !dispatcher.mayRepeat(Request, now)) {
+  if (!dispatcher.mayRepeat(Request, now)) {
     return false;
   }
   return !outcome.ResponseStarted || outcome.MayResume;
--- a/packages/routing/test/prompt_lifecycle_test.cpp
+++ b/packages/routing/test/prompt_lifecycle_test.cpp
@@ -65,6 +65,24 @@
   CHECK(lifecycle.localResponse().Status == 502);
 }
 
+// Guards against a deadly prompt that is repeated as its target's end is not
+// seen.
+TEST_CASE_METHOD(PromptLifecycleFixture,
+                 "request_lifecycle_suspected_prompt_is_not_repeated") {
+  for (int i = 0; i < 2; ++i) {
+    const Time now = at(i * 1'000L);
+    RequestLifecycle lifecycle = start({Root, Deadly}, now);
+    attempt(lifecycle, ExchangeResult::TargetEnded, now);
+  }
+  for (const ExchangeResult it :
+       {ExchangeResult::Broken, ExchangeResult::TimedOut}) {
+    RequestLifecycle lifecycle = start({Root, Deadly}, at(2'500));
+    CHECK_FALSE(attempt(lifecycle, it, at(2'500)));
+    RequestLifecycle sound = start({33}, at(2'500));
+    CHECK(attempt(sound, it, at(2'500)));
+  }
+}
+
 TEST_CASE_METHOD(PromptLifecycleFixture,
                  "request_lifecycle_quarantined_prompt_is_rejected_unsent") {
   for (int i = 0; i < 3; ++i) {
