Log what the fair share of a decision was taken of

A line request/dispatched or ended names the used share of a team, but not the fair rate and the capacity that it is a fraction of, nor how old the figures are. Lines of different routers can't be compared without them.

Assignment and Rejection carry a FairShare with all four; rejections for limits carry it too. No decision depends on the new fields.

--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -59,8 +59,7 @@
   Duration ExpectedFirstEvent{0};
   /// Age of the oldest peer report used for the choice, in milliseconds.
   std::int64_t OldestReportAgeMs = 0;
-  /// Ratio of the team's served rate to its fair share.
-  double FairShareUsage = 0;
+  FairShare Share;
   /// Requests per second that the target states it takes; nothing without a
   /// limit.
   std::optional<double> StatedRate;
@@ -89,9 +88,9 @@
   RejectionReason Reason = RejectionReason::NoTarget;
   Duration RetryAfter{0};
   Duration ExpectedFirstEvent{0};
-  double FairShareUsage = 0;
+  FairShare Share;
   /// The quarantined request or part, and what is known against it.
-  std::string Evidence;
+  std::string Evidence = {};
 };
 
 using DispatchDecision = std::variant<Assignment, Rejection>;
@@ -329,12 +328,13 @@
   /// Rejects a request as all targets of its pool are at their limits.
   /// Successive requests are told to return one after the other, at the rate at
   /// which this router may send.
-  Rejection rejectForLimits(const DispatchRequest &request, Time now);
+  Rejection rejectForLimits(const DispatchRequest &request,
+                            const FairShare &share, Time now);
   Assignment assign(TargetState &state, const DispatchRequest &request,
                     Time now);
   Assignment assignEngine(const EngineCandidate &engine,
-                          const DispatchRequest &request, double usage,
-                          Time now);
+                          const DispatchRequest &request,
+                          const FairShare &share, Time now);
   /// Fraction of the objective that the expected time may reach for a team with
   /// this fair-share usage.
   double waitFraction(double usage) const;
@@ -352,13 +352,13 @@
   /// Sends a request to the first engine of `ranked` whose limit allows it;
   /// rejects it if that is expected to respond too late.
   DispatchDecision sendToEngine(const std::vector<EngineCandidate> &ranked,
-                                const DispatchRequest &request, double usage,
-                                Time now);
+                                const DispatchRequest &request,
+                                const FairShare &share, Time now);
   /// Maximum expected time to the first event at which a request is still sent.
   Duration waitLimit(const DispatchRequest &request,
                      const EngineCandidate &engine, double usage) const;
   /// Ratio of the team's served rate to its fair share, over the whole fleet.
-  double fairShareUsage(const DispatchRequest &request, Time now);
+  FairShare fairShare(const DispatchRequest &request, Time now);
   /// Returns a random sample of `eligible`, and `preferred` if it is eligible,
   /// in a fleet of several router groups; otherwise all of `eligible`.
   std::vector<TargetState *>
@@ -393,6 +393,8 @@
   std::map<TargetId, TargetState> Targets;
   std::map<PoolId, PoolState> Pools;
   PeerLoads Peers;
+  /// Rated tokens per second that `Shares` divides.
+  double Capacity = 0;
   /// Time when the peers' rates were last summed up for `Shares`.
   std::optional<Time> SharesUpdatedAt;
   PrefixCacheTracker Caches;
--- a/packages/routing/include/nutmegsill/routing/team_share.h
+++ b/packages/routing/include/nutmegsill/routing/team_share.h
@@ -20,6 +20,19 @@
   double Served = 0;
 };
 
+/// A team's use of its fair share, as known when a decision was taken.
+struct FairShare {
+  /// Ratio of the team's served rate to its fair share.
+  double Usage = 0;
+  /// Fair share of a team, in rated tokens per second; infinity while all
+  /// demands fit.
+  double Rate = std::numeric_limits<double>::infinity();
+  /// Rated tokens per second that were divided.
+  double Capacity = 0;
+  /// Age of the oldest report that the figures come from.
+  Duration Age{0};
+};
+
 /// Compares the served rates of teams with their fair shares, over the whole
 /// fleet.
 class TeamShares {
@@ -36,6 +49,9 @@
   /// Returns the ratio of the team's served rate to the fair share as of the
   /// last update; 0 while all demands fit or if the capacity is 0.
   double fairShareUsage(const TeamId &team, Time now);
+  /// Fair share of a team as of the last update, in rated tokens per second;
+  /// infinity while all demands fit.
+  double fairRate() const { return FairRate; }
   /// Rates of the requests of this router only.
   std::map<TeamId, TeamRate> ownRates(Time now);
 
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -261,12 +261,11 @@
                          : RejectionReason::NoTarget,
                    std::max(retryAfter, pause.value_or(Duration{0})),
                    {},
-                   0,
                    {}};
 }
 
 Rejection Dispatcher::rejectForLimits(const DispatchRequest &request,
-                                      Time now) {
+                                      const FairShare &share, Time now) {
   PoolState &pool = Pools[request.Pool];
   double rate = 0;
   for (const TargetState *it : pool.Targets) {
@@ -280,8 +279,7 @@
   return Rejection{RejectionReason::TargetsLimited,
                    std::max(MinLimitRetryAfter, pool.LastReturnAt - now),
                    {},
-                   0,
-                   {}};
+                   share};
 }
 
 Assignment Dispatcher::assign(TargetState &state,
@@ -311,7 +309,7 @@
   const std::size_t routers = View->Routers.size();
   if (request.IsRetry && !Budget.allowsRetry(request.Pool, routers, now)) {
     return Rejection{
-        RejectionReason::RetryBudget, ExhaustedBudgetRetryAfter, {}, 0, {}};
+        RejectionReason::RetryBudget, ExhaustedBudgetRetryAfter, {}, {}};
   }
   if (const std::optional<Rejection> it = rejectQuarantined(request, now)) {
     return *it;
@@ -357,7 +355,7 @@
       return assign(*it, request, now);
     }
   }
-  return rejectForLimits(request, now);
+  return rejectForLimits(request, {}, now);
 }
 
 Dispatcher::TargetState *
--- a/packages/routing/src/engine_choice.cpp
+++ b/packages/routing/src/engine_choice.cpp
@@ -196,7 +196,7 @@
   return engines;
 }
 
-double Dispatcher::fairShareUsage(const DispatchRequest &request, Time now) {
+FairShare Dispatcher::fairShare(const DispatchRequest &request, Time now) {
   if (!SharesUpdatedAt || now - *SharesUpdatedAt >= Policy.SummaryInterval) {
     SharesUpdatedAt = now;
     Shares.setPeerRates(Peers.teamRates());
@@ -204,11 +204,12 @@
     const PoolState &pool = poolState(request.Pool, now);
     const double slowness =
         std::max(0.0, 1 - pool.ExpectedRate / configuredPrefillRate());
-    Shares.updateFairRate(View->Config->RatedTokensPerSecond *
-                              (1 - pool.BacklogFraction * slowness),
-                          now);
+    Capacity = View->Config->RatedTokensPerSecond *
+               (1 - pool.BacklogFraction * slowness);
+    Shares.updateFairRate(Capacity, now);
   }
-  return Shares.fairShareUsage(request.Team, now);
+  return {Shares.fairShareUsage(request.Team, now), Shares.fairRate(), Capacity,
+          Peers.oldestReportAge(now)};
 }
 
 Duration Dispatcher::waitLimit(const DispatchRequest &request,
@@ -228,52 +229,53 @@
 DispatchDecision Dispatcher::chooseEngine(const DispatchRequest &request,
                                           Time now) {
   const PoolRule &pool = *View->Config->findPool(request.Pool);
-  const double usage = fairShareUsage(request, now);
+  const FairShare share = fairShare(request, now);
   DispatchDecision decision =
-      sendToEngine(rankEngines(request, pool, false, now), request, usage, now);
+      sendToEngine(rankEngines(request, pool, false, now), request, share, now);
   const Rejection *rejection = std::get_if<Rejection>(&decision);
-  if (rejection != nullptr && usage < Policy.WaitRampStart &&
+  if (rejection != nullptr && share.Usage < Policy.WaitRampStart &&
       !Recipients.RemotePeers.empty()) {
     // A team within its fair share must not be rejected because of an
     // unfavourable random sample.
     decision = sendToEngine(rankEngines(request, pool, true, now), request,
-                            usage, now);
+                            share, now);
   }
   return decision;
 }
 
 DispatchDecision
 Dispatcher::sendToEngine(const std::vector<EngineCandidate> &ranked,
-                         const DispatchRequest &request, double usage,
+                         const DispatchRequest &request, const FairShare &share,
                          Time now) {
   for (const EngineCandidate &it : ranked) {
     const Duration excessWait = request.ElapsedTime + it.ExpectedFirstEvent -
-                                waitLimit(request, it, usage);
+                                waitLimit(request, it, share.Usage);
     if (excessWait > Duration{0}) {
       const Duration retryAfter = std::clamp<Duration>(
           excessWait + MinRetryAfter, MinRetryAfter, MaxRetryAfter);
-      return Rejection{usage < Policy.WaitRampStart
+      return Rejection{share.Usage < Policy.WaitRampStart
                            ? RejectionReason::Overloaded
                            : RejectionReason::TeamOverShare,
-                       retryAfter, it.ExpectedFirstEvent, usage};
+                       retryAfter, it.ExpectedFirstEvent, share};
     }
-    if (Statements.offer(processOf(*it.Target), now, limitWeight(usage))) {
-      return assignEngine(it, request, usage, now);
+    if (Statements.offer(processOf(*it.Target), now,
+                         limitWeight(share.Usage))) {
+      return assignEngine(it, request, share, now);
     }
   }
   return ranked.empty() ? rejectWithoutTarget(request, milliseconds(500), now)
-                        : rejectForLimits(request, now);
+                        : rejectForLimits(request, share, now);
 }
 
 Assignment Dispatcher::assignEngine(const EngineCandidate &engine,
                                     const DispatchRequest &request,
-                                    double usage, Time now) {
+                                    const FairShare &share, Time now) {
   Assignment out = assign(*engine.Target, request, now);
   out.CachedTokens = engine.CachedTokens;
   out.PrefillTokens = request.Prompt.InputTokens - engine.CachedTokens;
   out.OutstandingTokens = engine.OutstandingTokens;
   out.ExpectedFirstEvent = engine.ExpectedFirstEvent;
-  out.FairShareUsage = usage;
+  out.Share = share;
   Shares.recordServed(request.Team, request.Prompt.ratedTokens(), now);
   engine.Target->PrefillTokens += out.PrefillTokens;
   engine.Target->RecentTokens += static_cast<double>(out.PrefillTokens);
--- a/packages/routing/src/request_lifecycle.cpp
+++ b/packages/routing/src/request_lifecycle.cpp
@@ -151,13 +151,17 @@
     // Tells a team that asks for too much from a fleet that lacks capacity.
     const bool overShare =
         LastRejection->Reason == RejectionReason::TeamOverShare &&
-        LastRejection->FairShareUsage >= 1;
+        LastRejection->Share.Usage >= 1;
     return {
         overShare ? 429U : 503U,
         std::string(rejectionReasonName(LastRejection->Reason)) +
             ", expected_ms " +
             std::to_string(toMilliseconds(LastRejection->ExpectedFirstEvent)) +
-            ", used_share " + std::to_string(LastRejection->FairShareUsage),
+            ", used_share " + std::to_string(LastRejection->Share.Usage) +
+            ", fair_rate " + std::to_string(LastRejection->Share.Rate) +
+            ", capacity " + std::to_string(LastRejection->Share.Capacity) +
+            ", share_age_ms " +
+            std::to_string(toMilliseconds(LastRejection->Share.Age)),
         LastRejection->RetryAfter};
   }
   const std::string then =
