--- a/packages/routing/src/request_lifecycle.cpp
+++ b/packages/routing/src/request_lifecycle.cpp
@@ -32,7 +32,7 @@
   Request.Pool = admission.Pool;
   Request.Team = admission.Team;
   Request.Prompt = std::move(prompt);
-  Request.Identity = std::move(identity);
+  Request.Identity = identity;
 }
 
 DispatchDecision RequestLifecycle::chooseTarget(Dispatcher &dispatcher,
--- a/packages/routing/test/crash_fleet.h
+++ b/packages/routing/test/crash_fleet.h
@@ -195,6 +195,7 @@
 
   std::vector<HostId> hosts() const {
     std::vector<HostId> out;
+    out.reserve(Entries.size());
     for (const RouterEntry &it : Entries) {
       out.push_back(it.Host);
     }
--- a/packages/routing/test/fleet_state_test.cpp
+++ b/packages/routing/test/fleet_state_test.cpp
@@ -153,7 +153,7 @@
           UnreadableItem{"key-" + std::to_string(i),
                          "unknown state " + std::to_string(second),
                          TargetId{"odd-" + std::to_string(i)}, std::nullopt},
-          at(1'000 * second));
+          at(second * 1'000L));
     }
     reports += State.takeChanges().size();
   }
