--- a/review/standins/platform.cpp
+++ b/review/standins/platform.cpp
@@ -110,6 +110,21 @@
   eraseLocked(key);
 }
 
+void Store::putAndGoDown(const std::string &key, const std::string &value) {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  putLocked(key, value, 0);
+  Down = true;
+  DownSinceMs = nowMs();
+}
+
+void Store::comeBack() {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  Down = false;
+  for (auto &[id, lease] : Leases) {
+    lease.EndsAtMs += nowMs() - DownSinceMs;
+  }
+}
+
 std::size_t Store::countWithPrefix(const std::string &prefix) {
   const std::lock_guard<std::mutex> lock(Mutex);
   expireLeases();
@@ -121,6 +136,9 @@
 }
 
 void Store::expireLeases() {
+  if (Down) {
+    return;
+  }
   for (auto it = Leases.begin(); it != Leases.end();) {
     if (it->second.EndsAtMs > nowMs()) {
       ++it;
@@ -157,6 +175,10 @@
   const std::int64_t endMs = nowMs() + std::stoll(queryValue(target, "wait-ms"));
   std::unique_lock<std::mutex> lock(Mutex);
   for (;;) {
+    if (Down) {
+      status = 0;
+      return {};
+    }
     expireLeases();
     if (after > Revision || Stopping) {
       status = 410;
@@ -231,6 +253,10 @@
     return watch(target, status);
   }
   const std::lock_guard<std::mutex> lock(Mutex);
+  if (Down) {
+    status = 0;
+    return {};
+  }
   expireLeases();
   if (target.rfind("/kv-range", 0) == 0) {
     return list(target);
@@ -250,6 +276,10 @@
              readRequest(connection, IdleMs)) {
     int status = 200;
     const std::string body = answer(*request, status);
+    if (status == 0) {
+      connection.reset();
+      return;
+    }
     if (!connection.send("HTTP/1.1 " + std::to_string(status) +
                          " Status\r\nContent-Type: application/json\r\n"
                          "Store-Era: 1\r\nContent-Length: " +
--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -22,6 +22,11 @@
   /// which is the acknowledgement.
   std::uint64_t put(const std::string &key, const std::string &value);
   void erase(const std::string &key);
+  /// Writes an item and is down from then on: the write is acknowledged, and
+  /// all connections are reset, those of waiting watches too.
+  void putAndGoDown(const std::string &key, const std::string &value);
+  /// While the store is down, leases pause.
+  void comeBack();
   std::size_t countWithPrefix(const std::string &prefix);
 
 private:
@@ -55,6 +60,8 @@
   std::mutex Mutex;
   std::condition_variable Changed;
   bool Stopping = false;
+  bool Down = false;
+  std::int64_t DownSinceMs = 0;
   std::map<std::string, Item> Items;
   std::vector<Change> History;
   std::map<std::uint64_t, Lease> Leases;
