Review: an empty list of tenants opens all routes

After the only tenant is taken out of the configuration, requests run with its key, and with a key that no configuration ever held (ROUTE, CONFIG).

--- a/review/standins/platform.cpp
+++ b/review/standins/platform.cpp
@@ -316,9 +316,10 @@
          R"("protocol":"h1","tls":false,"cold-start-s":0.0,"cold-per-s":0.0}],)"
          R"("limits":{"max-header-bytes":16384,"max-body-bytes":4194304,)"
          R"("header-timeout-ms":3000,"idle-timeout-ms":15000,)"
-         R"("tokens-per-s":190000},"tenants":[{"name":"workshop","priority":1,)"
-         R"("api-keys":[)" +
-         keys + "]}]}";
+         R"("tokens-per-s":190000},"tenants":[)" +
+         (keys.empty() ? "" : R"({"name":"workshop","priority":1,"api-keys":[)" +
+                                  keys + "]}") +
+         "]}";
 }
 
 Worker::Worker(const std::string &ip, std::string id, std::string service,
--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -73,7 +73,7 @@
 /// The operator's configuration: the kinds of request of the site jrra-ledger
 /// as routes "/dossier/", "/summary/", "/issue/" and "/lookup/" of the host
 /// ficu95.example, to the services "pool" and "ledger"; one tenant, "workshop",
-/// with `keys`, a JSON list without its brackets.
+/// with `keys`, a JSON list without its brackets. Without keys, no tenant.
 std::string configText(int version, const std::string &keys);
 
 /// A worker. `OnRequest` answers a request that reached it; false closes the
