--- a/review/standins/support.cpp
+++ b/review/standins/support.cpp
@@ -292,12 +292,17 @@
     }
     const int one = 1;
     ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-    const std::shared_ptr<Connection> connection =
-        std::make_shared<Connection>(fd);
+    std::shared_ptr<Connection> connection = std::make_shared<Connection>(fd);
     const std::lock_guard<std::mutex> lock(Mutex);
     Open.remove_if([](const auto &it) { return it.expired(); });
     Open.push_back(connection);
-    Serving.emplace_back([this, connection] { OnConnection(connection); });
+    ++Serving;
+    std::thread([this, connection]() mutable {
+      OnConnection(std::move(connection));
+      const std::lock_guard<std::mutex> lock(Mutex);
+      --Serving;
+      Ended.notify_all();
+    }).detach();
   }
 }
 
@@ -305,14 +310,13 @@
   Stopped = true;
   Thread.join();
   ::close(Fd);
+  std::unique_lock<std::mutex> lock(Mutex);
   for (const auto &it : Open) {
     if (const std::shared_ptr<Connection> connection = it.lock()) {
       connection->shutdown();
     }
   }
-  for (std::thread &it : Serving) {
-    it.join();
-  }
+  Ended.wait(lock, [this] { return Serving == 0; });
 }
 
 int freePort(const std::string &ip) {
--- a/review/standins/support.h
+++ b/review/standins/support.h
@@ -119,8 +119,9 @@
   std::atomic<bool> Stopped{false};
   std::thread Thread;
   std::mutex Mutex;
+  std::condition_variable Ended;
   std::list<std::weak_ptr<Connection>> Open;
-  std::list<std::thread> Serving;
+  int Serving = 0;
 };
 
 /// A free port of `ip`.
