--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -13,8 +13,8 @@
 constexpr std::int64_t DeadlineMs = 4000;
 
 std::string request(const std::string &path, const std::string &id) {
-  return "POST " + path + " HTTP/1.1\r\nHost: ficu95.example\r\nRequest-Id: " +
-         id +
+  return "POST " + path +
+         " HTTP/1.1\r\nHost: ficu95.example\r\nRequest-Id: " + id +
          "\r\nModel: m\r\nTokens: 1460,24\r\nPrefix-Hash: "
          "5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\nDeadline-Ms: " +
          std::to_string(DeadlineMs) +
@@ -48,14 +48,12 @@
     const int first = last.empty() ? 1 : std::stoi(last) + 1;
     const bool stops =
         hasTrouble() && last.empty() && id.find("-b") != std::string::npos;
-    record.line("ran " + id +
-                (last.empty() ? "" : ", goes on after event " + last) +
-                (stops ? ", stops inside event " + std::to_string(BrokenEvent)
-                       : ""));
-    std::string text =
-        answerHead(200, it,
-                   "Content-Type: text/event-stream\r\n"
-                   "Transfer-Encoding: chunked\r\n");
+    record.line(
+        "ran " + id + (last.empty() ? "" : ", goes on after event " + last) +
+        (stops ? ", stops inside event " + std::to_string(BrokenEvent) : ""));
+    std::string text = answerHead(200, it,
+                                  "Content-Type: text/event-stream\r\n"
+                                  "Transfer-Encoding: chunked\r\n");
     for (int i = first; i <= Events; ++i) {
       const bool isBroken = stops && i == BrokenEvent;
       const std::string part = isBroken ? event(i).substr(0, 12) : event(i);
@@ -70,11 +68,10 @@
     }
     return to.send("0\r\n\r\n") && !stops;
   });
-  fleet.addWorkers("ledger", 3, [](Connection &, const Message &) {
-    return false;
-  });
+  fleet.addWorkers("ledger", 3,
+                   [](Connection &, const Message &) { return false; });
   if (!fleet.start()) {
-    return finish(record, false, 0, "the routers did not start");
+    return finish(record, fleet, false, 0, "the routers did not start");
   }
   std::string whole;
   for (int i = 1; i <= Events; ++i) {
@@ -116,9 +113,9 @@
     it.join();
   }
   if (faulty > 0) {
-    return finish(record, false, 0, "a first request was not served");
+    return finish(record, fleet, false, 0, "a first request was not served");
   }
-  return finish(record, true, cutShort,
+  return finish(record, fleet, true, cutShort,
                 std::to_string(cutShort) + " of " + std::to_string(Clients) +
                     " streams ended as complete before their last piece");
 }
--- a/review/standins/platform.cpp
+++ b/review/standins/platform.cpp
@@ -2,13 +2,12 @@
 
 #include <arpa/inet.h>
 #include <csignal>
-#include <cstring>
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <fcntl.h>
 #include <filesystem>
 #include <iterator>
-#include <poll.h>
 #include <random>
 #include <sstream>
 #include <sys/prctl.h>
@@ -105,26 +104,6 @@
   return Revision;
 }
 
-void Store::erase(const std::string &key) {
-  const std::lock_guard<std::mutex> lock(Mutex);
-  eraseLocked(key);
-}
-
-void Store::putAndGoDown(const std::string &key, const std::string &value) {
-  const std::lock_guard<std::mutex> lock(Mutex);
-  putLocked(key, value, 0);
-  Down = true;
-  DownSinceMs = nowMs();
-}
-
-void Store::comeBack() {
-  const std::lock_guard<std::mutex> lock(Mutex);
-  Down = false;
-  for (auto &[id, lease] : Leases) {
-    lease.EndsAtMs += nowMs() - DownSinceMs;
-  }
-}
-
 std::size_t Store::countWithPrefix(const std::string &prefix) {
   const std::lock_guard<std::mutex> lock(Mutex);
   expireLeases();
@@ -136,9 +115,6 @@
 }
 
 void Store::expireLeases() {
-  if (Down) {
-    return;
-  }
   for (auto it = Leases.begin(); it != Leases.end();) {
     if (it->second.EndsAtMs > nowMs()) {
       ++it;
@@ -172,13 +148,10 @@
 
 std::string Store::watch(const std::string &target, int &status) {
   const std::uint64_t after = std::stoull(queryValue(target, "after"));
-  const std::int64_t endMs = nowMs() + std::stoll(queryValue(target, "wait-ms"));
+  const std::int64_t endMs =
+      nowMs() + std::stoll(queryValue(target, "wait-ms"));
   std::unique_lock<std::mutex> lock(Mutex);
   for (;;) {
-    if (Down) {
-      status = 0;
-      return {};
-    }
     expireLeases();
     if (after > Revision || Stopping) {
       status = 410;
@@ -188,10 +161,10 @@
     for (const Change &it : History) {
       if (it.Revision > after) {
         rows += (rows.empty() ? "" : ",") +
-                (it.Written ? itemJson(it.Key, *it.Written)
-                            : R"({"key":")" + it.Key + R"(","revision":)" +
-                                  std::to_string(it.Revision) +
-                                  R"(,"deleted":true})");
+                (it.Written
+                     ? itemJson(it.Key, *it.Written)
+                     : R"({"key":")" + it.Key + R"(","revision":)" +
+                           std::to_string(it.Revision) + R"(,"deleted":true})");
       }
     }
     if (!rows.empty() || nowMs() >= endMs) {
@@ -208,8 +181,7 @@
   // The routers write one key under one condition.
   const std::string key = jsonValue(body, "key");
   const auto item = Items.find(key);
-  const std::uint64_t current =
-      item == Items.end() ? 0 : item->second.Revision;
+  const std::uint64_t current = item == Items.end() ? 0 : item->second.Revision;
   if (std::to_string(current) != jsonValue(body, "revision")) {
     status = 412;
     return R"({"entries":[)" +
@@ -253,10 +225,6 @@
     return watch(target, status);
   }
   const std::lock_guard<std::mutex> lock(Mutex);
-  if (Down) {
-    status = 0;
-    return {};
-  }
   expireLeases();
   if (target.rfind("/kv-range", 0) == 0) {
     return list(target);
@@ -276,10 +244,6 @@
              readRequest(connection, IdleMs)) {
     int status = 200;
     const std::string body = answer(*request, status);
-    if (status == 0) {
-      connection.reset();
-      return;
-    }
     if (!connection.send("HTTP/1.1 " + std::to_string(status) +
                          " Status\r\nContent-Type: application/json\r\n"
                          "Store-Era: 1\r\nContent-Length: " +
@@ -317,8 +281,9 @@
          R"("limits":{"max-header-bytes":16384,"max-body-bytes":4194304,)"
          R"("header-timeout-ms":3000,"idle-timeout-ms":15000,)"
          R"("tokens-per-s":190000},"tenants":[)" +
-         (keys.empty() ? "" : R"({"name":"workshop","priority":1,"api-keys":[)" +
-                                  keys + "]}") +
+         (keys.empty() ? ""
+                       : R"({"name":"workshop","priority":1,"api-keys":[)" +
+                             keys + "]}") +
          "]}";
 }
 
@@ -334,14 +299,14 @@
 }
 
 void Worker::beat(Store &store, const std::string &state) {
-  store.put("servers/" + Id,
-            R"({"service":")" + Service + R"(","address":")" + address() +
-                R"(","zone":")" + Zone +
-                R"(","version":"v1","slots":64,"state":")" + state +
-                R"(","cold-left-ms":0,"phase":"both","model-list":[{"name":"m",)"
-                R"("version":1,"adapter-list":[]}],"born":)" +
-                std::to_string(Born) + R"(,"seq":)" + std::to_string(++Seq) +
-                "}");
+  store.put(
+      "servers/" + Id,
+      R"({"service":")" + Service + R"(","address":")" + address() +
+          R"(","zone":")" + Zone + R"(","version":"v1","slots":64,"state":")" +
+          state +
+          R"(","cold-left-ms":0,"phase":"both","model-list":[{"name":"m",)"
+          R"("version":1,"adapter-list":[]}],"born":)" +
+          std::to_string(Born) + R"(,"seq":)" + std::to_string(++Seq) + "}");
 }
 
 void Worker::serve(Connection &connection) {
@@ -378,41 +343,6 @@
          "\r\nSignature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n" + fields + "\r\n";
 }
 
-Proxy::Proxy(const std::string &ip, std::string to) : To(std::move(to)) {
-  Door = std::make_unique<Listener>(
-      ip, [this](std::shared_ptr<Connection> it) { serve(std::move(it)); });
-}
-
-void Proxy::setCut(bool cut) { Cut = cut; }
-
-void Proxy::serve(std::shared_ptr<Connection> from) {
-  const std::unique_ptr<Connection> to = Cut ? nullptr : Connection::open(To);
-  if (!to) {
-    from->reset();
-    return;
-  }
-  pollfd both[2] = {{from->fd(), POLLIN, 0}, {to->fd(), POLLIN, 0}};
-  for (;;) {
-    ::poll(both, 2, 5);
-    if (Cut) {
-      from->reset();
-      to->reset();
-      return;
-    }
-    for (int i = 0; i < 2; ++i) {
-      if (both[i].revents == 0) {
-        continue;
-      }
-      Connection &source = i == 0 ? *from : *to;
-      Connection &sink = i == 0 ? *to : *from;
-      std::string bytes;
-      if (!source.receive(bytes, 0) || !sink.send(bytes)) {
-        return;
-      }
-    }
-  }
-}
-
 Router::Router(const std::string &root, const std::string &folder,
                const std::string &name, const std::string &zone,
                const std::string &store)
@@ -511,12 +441,6 @@
   return false;
 }
 
-void Router::signal(int number) {
-  if (Pid > 0) {
-    ::kill(Pid, number);
-  }
-}
-
 bool Router::hasEnded() {
   if (Pid > 0 && ::waitpid(Pid, nullptr, WNOHANG) == Pid) {
     Pid = -1;
@@ -561,7 +485,15 @@
   return true;
 }
 
-int finish(Record &record, bool ran, int broken, const std::string &what) {
+void Deployment::stop() {
+  Routers.clear();
+  Workers.clear();
+}
+
+int finish(Record &record, Deployment &fleet, bool ran, int broken,
+           const std::string &what) {
+  // Before the state that the workers' handlers use.
+  fleet.stop();
   record.line(!ran ? "could not run: " + what
               : broken > 0
                   ? "rule broken " + std::to_string(broken) + " times: " + what
@@ -579,10 +511,6 @@
   Path = ::mkdtemp(name.data());
 }
 
-Folder::~Folder() {
-  if (std::getenv("KEEP") == nullptr) {
-    std::filesystem::remove_all(Path);
-  }
-}
+Folder::~Folder() { std::filesystem::remove_all(Path); }
 
 } // namespace review
--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -1,5 +1,5 @@
-/// Stand-ins for the platform: its store, its workers, the machine on which a
-/// router runs, and a proxy between a router and the store.
+/// Stand-ins for the platform: its store, its workers, and the machine on which
+/// a router runs.
 #pragma once
 
 #include "support.h"
@@ -21,12 +21,6 @@
   /// Writes an item as the operator or a worker does; returns its revision,
   /// which is the acknowledgement.
   std::uint64_t put(const std::string &key, const std::string &value);
-  void erase(const std::string &key);
-  /// Writes an item and is down from then on: the write is acknowledged, and
-  /// all connections are reset, those of waiting watches too.
-  void putAndGoDown(const std::string &key, const std::string &value);
-  /// While the store is down, leases pause.
-  void comeBack();
   std::size_t countWithPrefix(const std::string &prefix);
 
 private:
@@ -60,8 +54,6 @@
   std::mutex Mutex;
   std::condition_variable Changed;
   bool Stopping = false;
-  bool Down = false;
-  std::int64_t DownSinceMs = 0;
   std::map<std::string, Item> Items;
   std::vector<Change> History;
   std::map<std::uint64_t, Lease> Leases;
@@ -103,22 +95,7 @@
 std::string answerHead(int status, const Message &request,
                        const std::string &fields = "");
 
-/// Passes connections on; while it is cut, resets old and new ones.
-class Proxy {
-public:
-  Proxy(const std::string &ip, std::string to);
-  std::string address() const { return Door->address(); }
-  void setCut(bool cut);
-
-private:
-  void serve(std::shared_ptr<Connection> from);
-  std::string To;
-  std::atomic<bool> Cut{false};
-  std::unique_ptr<Listener> Door;
-};
-
-/// Bounds and limits of the site, as the platform fills them into the template
-/// of the settings.
+/// What the platform fills into the template of a router's settings.
 struct Machine {
   std::string Name;
   std::string Zone;
@@ -141,7 +118,6 @@
   void start();
   /// Waits until the machine says that it is ready.
   bool waitReady(std::int64_t limitMs);
-  void signal(int number);
   /// Whether the process has ended; reaps it.
   bool hasEnded();
   const Machine &machine() const { return At; }
@@ -174,6 +150,8 @@
   /// Starts the routers; false if they are not all ready and registered in
   /// time.
   bool start();
+  /// Ends the routers and the workers.
+  void stop();
 
   Folder Files;
   Store Records{"127.0.0.1"};
@@ -185,8 +163,10 @@
   std::string Root;
 };
 
-/// Records the result and returns the exit code of the script.
-int finish(Record &record, bool ran, int broken, const std::string &what);
+/// Ends the deployment, records the result and returns the exit code of the
+/// script.
+int finish(Record &record, Deployment &fleet, bool ran, int broken,
+           const std::string &what);
 /// False if the variable TROUBLE is 0: the same without the disruption.
 bool hasTrouble();
 
--- a/review/standins/support.cpp
+++ b/review/standins/support.cpp
@@ -148,8 +148,8 @@
 bool Connection::send(const std::string &bytes) {
   std::size_t sent = 0;
   while (sent < bytes.size()) {
-    const ssize_t n = ::send(Fd, bytes.data() + sent, bytes.size() - sent,
-                             MSG_NOSIGNAL);
+    const ssize_t n =
+        ::send(Fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
     if (n <= 0) {
       return false;
     }
@@ -169,7 +169,6 @@
   }
   char part[16 << 10];
   const ssize_t n = ::recv(Fd, part, sizeof(part), 0);
-  Reset = n < 0;
   if (n <= 0) {
     return false;
   }
@@ -177,12 +176,6 @@
   return true;
 }
 
-bool Connection::isClosedByPeer() const {
-  char byte = 0;
-  const ssize_t n = ::recv(Fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 void Connection::reset() {
   const linger now{1, 0};
   ::setsockopt(Fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
@@ -388,8 +381,8 @@
   std::size_t at = target.find('?');
   while (at != std::string::npos) {
     const std::size_t end = target.find('&', at + 1);
-    const std::string pair = target.substr(
-        at + 1, end == std::string::npos ? end : end - at - 1);
+    const std::string pair =
+        target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
     if (pair.rfind(name + "=", 0) == 0) {
       return pair.substr(name.size() + 1);
     }
--- a/review/standins/support.h
+++ b/review/standins/support.h
@@ -51,10 +51,6 @@
   bool receive(std::string &buffer, std::int64_t limitMs);
   /// Whether the last `receive` ended as nothing arrived in time.
   bool timedOut() const { return TimedOut; }
-  /// Whether the connection ended with a reset.
-  bool wasReset() const { return Reset; }
-  /// Whether the other side has closed or reset the connection.
-  bool isClosedByPeer() const;
   /// Closes with a reset.
   void reset();
   void shutdown();
@@ -65,7 +61,6 @@
 private:
   int Fd;
   bool TimedOut = false;
-  bool Reset = false;
 };
 
 struct Message {
