Break streams that end inside an event, whatever their framing

Callers saw a stream that ended as complete after part of an event: a target stopped inside an event and ended the chunks of its response in due form. The rest was lost without a sign, and resumable streams did not go on elsewhere.

Cause: forwardStream looked for the end of an event only in bodies without a length and without chunks. How a body is framed tells nothing about whether the stream is whole. Now an event stream that ends inside an event is broken off in all framings: the events before are delivered, then it is resumed or ends without its last chunk. Comments after the last event and line ends of a lone carriage return don't count as an event that has begun.

Tests: gateway_framed_stream_that_ends_in_event_is_broken and ..._is_resumed failed on the code before (two forms each) and pass, as do the other stream cases of the gateway. gateway_json_of_stream_route_is_forwarded_whole guards responses that are no event streams; it passed before, too.

--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -79,8 +79,10 @@
   boost::asio::awaitable<bool>
   readBody(ResponseReader &reader, std::string &body, std::size_t maxBytes);
   boost::asio::awaitable<void> forwardStream(ResponseReader &reader);
+  /// Returns false when the caller cannot be reached, which ends the exchange.
   boost::asio::awaitable<bool> forwardPart(ResponseReader &reader,
                                            std::string_view part, bool isLast);
+  bool isCutOff(const ResponseReader &reader) const;
   boost::asio::awaitable<void> transfer();
   boost::asio::awaitable<void> probeLostTarget();
   void classifyResponse(ResponseReader &reader, std::string body);
--- a/packages/gateway/test/gateway_faults_test.cpp
+++ b/packages/gateway/test/gateway_faults_test.cpp
@@ -144,6 +144,49 @@
   }
 }
 
+// Guards against a stream that is complete by its framing and ends in an event.
+TEST_CASE_METHOD(GatewayFaultsFixture,
+                 "gateway_framed_stream_that_ends_in_event_is_broken") {
+  const TargetMode mode = GENERATE(TargetMode::ChunkedStreamsCutInEvent,
+                                   TargetMode::SizedStreamsCutInEvent);
+  startRouter();
+  setTargetModes(mode);
+  const RawResponse response = sendRequest("/stream/whole/a", "id-1");
+  CAPTURE(static_cast<int>(mode), response.Body);
+  CHECK(response.Status == 200);
+  CHECK_FALSE(response.Complete);
+  CHECK(TargetStandin::streamBody(1).starts_with(response.Body));
+  CHECK(response.Body.find("part 2") != std::string::npos);
+  CHECK(runCount("id-1") == 1);
+}
+
+TEST_CASE_METHOD(GatewayFaultsFixture,
+                 "gateway_framed_stream_that_ends_in_event_is_resumed") {
+  const TargetMode mode = GENERATE(TargetMode::ChunkedStreamsCutInEvent,
+                                   TargetMode::SizedStreamsCutInEvent);
+  startRouter();
+  FirstTarget->setMode(mode);
+  for (int i = 0; i < 4; ++i) {
+    const RawResponse response =
+        sendRequest("/stream/resumed/a", "id-" + std::to_string(i));
+    CAPTURE(static_cast<int>(mode), response.Body);
+    CHECK(response.Complete);
+    CHECK(response.Body == TargetStandin::streamBody(1));
+  }
+}
+
+TEST_CASE_METHOD(GatewayFaultsFixture,
+                 "gateway_json_of_stream_route_is_forwarded_whole") {
+  startRouter();
+  setTargetModes(TargetMode::JsonForStreams);
+  for (const char *path : {"/stream/whole/a", "/stream/resumed/a"}) {
+    const RawResponse response = sendRequest(path, std::string("id") + path);
+    CAPTURE(path);
+    CHECK(response.Complete);
+    CHECK(response.Body == TargetStandin::jsonAnswer());
+  }
+}
+
 TEST_CASE_METHOD(GatewayFaultsFixture,
                  "gateway_resumable_stream_continues_on_another_target") {
   startRouter();
--- a/packages/routing/include/nutmegsill/routing/event_stream_buffer.h
+++ b/packages/routing/include/nutmegsill/routing/event_stream_buffer.h
@@ -8,7 +8,8 @@
 
 namespace nutmegsill::routing {
 
-/// Finds the ends of events: an empty line, with or without carriage returns.
+/// Finds the ends of events: an empty line. Lines end with a line feed, a
+/// carriage return, or both.
 class EventBoundary {
 public:
   /// Consumes bytes and returns the offset in `part` after the last event that
@@ -16,12 +17,20 @@
   std::optional<std::size_t> append(std::string_view part);
   /// Bytes of the incomplete event.
   std::size_t pendingBytes() const { return PendingBytes; }
+  /// Whether an event has begun and its end has not come; comments are no part
+  /// of an event.
+  bool isInsideEvent() const { return InsideEvent; }
+  /// Whether an event has been completed.
+  bool hasEvent() const { return HasEvent; }
   void reset() { *this = EventBoundary(); }
 
 private:
   std::size_t PendingBytes = 0;
-  /// The last byte, apart from carriage returns, ended a line.
+  /// The last byte ended a line that was not empty.
   bool AtLineStart = false;
+  bool AfterCarriageReturn = false;
+  bool InsideEvent = false;
+  bool HasEvent = false;
 };
 
 /// Buffers the incomplete event at the end of a stream, so that the stream can
--- a/packages/routing/src/event_stream_buffer.cpp
+++ b/packages/routing/src/event_stream_buffer.cpp
@@ -23,15 +23,29 @@
 std::optional<std::size_t> EventBoundary::append(std::string_view part) {
   std::optional<std::size_t> end;
   for (std::size_t i = 0; i < part.size(); ++i) {
+    const char c = part[i];
+    const bool endsLine = c == '\n' || c == '\r';
+    const bool completesLineEnd = c == '\n' && AfterCarriageReturn;
+    AfterCarriageReturn = c == '\r';
     ++PendingBytes;
-    if (part[i] == '\r') {
+    if (completesLineEnd) {
+      // The only pending byte belongs to the line that ended the last event.
+      if (PendingBytes == 1) {
+        end = i + 1;
+        PendingBytes = 0;
+      }
       continue;
     }
-    const bool emptyLine = part[i] == '\n' && AtLineStart;
-    AtLineStart = part[i] == '\n' && !emptyLine;
+    const bool emptyLine = endsLine && AtLineStart;
+    if (!endsLine && c != ':' && (AtLineStart || PendingBytes == 1)) {
+      InsideEvent = true;
+    }
+    AtLineStart = endsLine && !emptyLine;
     if (emptyLine) {
       end = i + 1;
       PendingBytes = 0;
+      HasEvent = HasEvent || InsideEvent;
+      InsideEvent = false;
     }
   }
   return end;
--- a/packages/standins/src/target_standin.cpp
+++ b/packages/standins/src/target_standin.cpp
@@ -107,6 +107,8 @@
   return text;
 }
 
+std::string TargetStandin::jsonAnswer() { return R"({"answer":1})"; }
+
 std::string TargetStandin::responseHead(const ReceivedRequest &received,
                                         unsigned status,
                                         TargetMode mode) const {
@@ -255,6 +257,11 @@
     co_await sendUnframedStream(exchange, received, mode);
     co_return;
   }
+  if (mode == TargetMode::SizedStreamsCutInEvent ||
+      mode == TargetMode::JsonForStreams) {
+    co_await sendSized(exchange, received, mode);
+    co_return;
+  }
   std::string text = responseHead(received, 200, mode) +
                      "Content-Type: text/event-stream\r\n"
                      "Transfer-Encoding: chunked\r\n\r\n";
@@ -271,6 +278,10 @@
       exchange.resetConnection();
       co_return;
     }
+    if (mode == TargetMode::ChunkedStreamsCutInEvent && i == 3) {
+      co_await exchange.writeChunk(event.substr(0, event.size() / 2));
+      break;
+    }
     const bool sent = co_await exchange.writeChunk(event);
     if (!sent) {
       co_return;
@@ -280,6 +291,21 @@
   co_await exchange.finishChunked();
 }
 
+asio::awaitable<void> TargetStandin::sendSized(ServerExchange &exchange,
+                                               const ReceivedRequest &received,
+                                               TargetMode mode) {
+  std::string type = "application/json";
+  std::string body = jsonAnswer();
+  if (mode == TargetMode::SizedStreamsCutInEvent) {
+    type = "text/event-stream";
+    body = streamBody(1);
+    body.resize(body.size() - streamBody(3).size() + 4);
+  }
+  co_await exchange.sendBytes(
+      responseHead(received, 200, mode) + "Content-Type: " + type +
+      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
 asio::awaitable<void>
 TargetStandin::sendUnframedStream(ServerExchange &exchange,
                                   const ReceivedRequest &received,
--- a/packages/standins/src/target_standin.h
+++ b/packages/standins/src/target_standin.h
@@ -36,6 +36,12 @@
   UnframedStreamsWithoutEvent,
   /// The connection is reset after event number 2.
   UnframedStreamsReset,
+  // The modes below end the body of a stream in due form in the middle of event
+  // number 3.
+  ChunkedStreamsCutInEvent,
+  SizedStreamsCutInEvent,
+  /// Responds to streams with a JSON text that has a length.
+  JsonForStreams,
   /// Sends each response twice, except streams.
   DuplicatingResponses,
   /// Responds with status 200 but without the "Signature" field.
@@ -126,12 +132,17 @@
   /// Body of a stream that starts with event number `firstEvent`; the first
   /// event is number 1.
   static std::string streamBody(int firstEvent);
+  /// Body of `TargetMode::JsonForStreams`.
+  static std::string jsonAnswer();
 
 private:
   boost::asio::awaitable<void> handleRequest(ServerExchange &exchange);
   boost::asio::awaitable<void> sendStream(ServerExchange &exchange,
                                           const ReceivedRequest &received,
                                           TargetMode mode);
+  boost::asio::awaitable<void> sendSized(ServerExchange &exchange,
+                                         const ReceivedRequest &received,
+                                         TargetMode mode);
   boost::asio::awaitable<void>
   sendUnframedStream(ServerExchange &exchange, const ReceivedRequest &received,
                      TargetMode mode);
