Leave room for small responses beside large ones

Callers of sound targets got 502 while other targets sent large bodies, or bodies without end: the memory for buffered responses was given out first come, first served, and two bodies could hold all of it until their requests ended.

A lease of that memory may now not grow beyond what is then left for others. The capacity of buffers counts instead of the bytes in them, and so do the incomplete events of resumable streams, which had no common bound.

--- a/packages/gateway/src/buffer_budget.h
+++ b/packages/gateway/src/buffer_budget.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <utility>
 
 namespace nutmegsill::gateway {
 
@@ -18,13 +19,16 @@
     Lease &operator=(const Lease &) = delete;
     ~Lease() { Budget.UsedBytes -= Bytes; }
 
-    /// Adds to the lease; false if the budget is used up.
-    bool add(std::size_t bytes) {
-      if (Budget.UsedBytes + bytes > Budget.MaxBytes) {
+    /// Changes the size of the lease. A lease may not grow beyond what is then
+    /// left for others, so that a few large ones leave room for small ones;
+    /// returns false and changes nothing if it would.
+    bool resize(std::size_t bytes) {
+      const std::size_t others = Budget.UsedBytes - Bytes;
+      if (bytes > Bytes && others + 2 * bytes > Budget.MaxBytes) {
         return false;
       }
-      Budget.UsedBytes += bytes;
-      Bytes += bytes;
+      Budget.UsedBytes = others + bytes;
+      Bytes = bytes;
       return true;
     }
 
@@ -33,6 +37,8 @@
     std::size_t Bytes = 0;
   };
 
+  std::size_t usedBytes() const { return UsedBytes; }
+
 private:
   std::size_t MaxBytes;
   std::size_t UsedBytes = 0;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace nutmegsill::gateway {
@@ -204,11 +205,16 @@
            "response body larger than " + std::to_string(maxBytes) + " bytes");
       co_return false;
     }
-    if (!lease.add(n)) {
-      fail(ExchangeResult::Broken, "no memory to buffer more than " +
-                                       std::to_string(body.size()) +
-                                       " bytes of the response body");
-      co_return false;
+    if (body.size() + n > body.capacity()) {
+      const std::size_t capacity =
+          std::max(body.size() + n, 2 * body.capacity());
+      if (!lease.resize(capacity)) {
+        fail(ExchangeResult::Broken, "no memory to buffer more than " +
+                                         std::to_string(body.size()) +
+                                         " bytes of the response body");
+        co_return false;
+      }
+      body.reserve(capacity);
     }
     body.append(reader.PartBuffer.data(), n);
   }
@@ -285,6 +291,7 @@
 }
 
 asio::awaitable<void> Exchange::forwardStream(ResponseReader &reader) {
+  BufferBudget::Lease lease(Buffers);
   for (;;) {
     boost::system::error_code ec;
     reader.Parser->get().body().data = reader.PartBuffer.data();
@@ -310,6 +317,12 @@
            "event longer than " + std::to_string(MaxEventBytes) + " bytes");
       co_return;
     }
+    if (Events != nullptr && !lease.resize(Boundary.pendingBytes())) {
+      fail(ExchangeResult::Broken, "no memory to buffer more than " +
+                                       std::to_string(Boundary.pendingBytes()) +
+                                       " bytes of an event");
+      co_return;
+    }
     if (endsCutOff) {
       const bool forwarded =
           !boundary ||
--- a/packages/standins/src/target_standin.cpp
+++ b/packages/standins/src/target_standin.cpp
@@ -355,9 +355,25 @@
             std::string(4096, 'x');
     break;
   }
+  case TargetMode::EndlessDuplicateBody: {
+    ReceivedRequest other;
+    other.RequestId = "of-another-request";
+    first = responseHead(other, 200, mode) + "\r\n";
+    break;
+  }
   case TargetMode::EndlessBody:
     first += "\r\n";
     break;
+  case TargetMode::EndlessTrailer:
+    first += "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Endless: ";
+    break;
+  case TargetMode::EndlessEvents:
+    first += "Content-Type: text/event-stream\r\n\r\n";
+    block.clear();
+    while (block.size() < blockBytes) {
+      block += "id: 1\ndata: " + std::string(200, 'x') + "\n\n";
+    }
+    break;
   case TargetMode::EndlessChunkExtension:
     first += "Transfer-Encoding: chunked\r\n\r\n4;";
     break;
--- a/packages/standins/src/target_standin.h
+++ b/packages/standins/src/target_standin.h
@@ -81,6 +81,12 @@
   EndlessChunks,
   /// One chunk extension without an end.
   EndlessChunkExtension,
+  /// One complete head of a response to another request, and its body.
+  EndlessDuplicateBody,
+  /// One trailer field without an end.
+  EndlessTrailer,
+  /// A stream of short events.
+  EndlessEvents,
 };
 
 /// A request as the target received it.
