Count buffered responses until they are sent

A router whose callers don't read their responses could run out of memory: the bound for buffered responses held only while a response was received. Then it was kept twice, as a body and as the text that is sent, and counted nowhere. 20 callers with a response of 4 MB each made a peak of 178 MB; the smallest hosts have 88 MB.

The lease of the memory now goes with the response and ends when it is sent; head and body are written without a copy. A response that states a length beyond the bound is given up at its head. Which responses get memory is decided as before.

--- a/packages/gateway/src/buffer_budget.h
+++ b/packages/gateway/src/buffer_budget.h
@@ -1,4 +1,4 @@
-/// Memory for responses that are buffered until they are complete.
+/// Memory for responses that are buffered until they are complete and sent.
 #pragma once
 
 #include <cstddef>
@@ -14,26 +14,31 @@
   /// The part of one exchange; returned when the lease ends.
   class Lease {
   public:
-    explicit Lease(BufferBudget &budget) : Budget(budget) {}
-    Lease(const Lease &) = delete;
-    Lease &operator=(const Lease &) = delete;
-    ~Lease() { Budget.UsedBytes -= Bytes; }
+    explicit Lease(BufferBudget &budget) : Budget(&budget) {}
+    Lease(Lease &&other) noexcept
+        : Budget(other.Budget), Bytes(std::exchange(other.Bytes, 0)) {}
+    Lease &operator=(Lease &&other) noexcept {
+      std::swap(Budget, other.Budget);
+      std::swap(Bytes, other.Bytes);
+      return *this;
+    }
+    ~Lease() { Budget->UsedBytes -= Bytes; }
 
     /// Changes the size of the lease. A lease may not grow beyond what is then
     /// left for others, so that a few large ones leave room for small ones;
     /// returns false and changes nothing if it would.
     bool resize(std::size_t bytes) {
-      const std::size_t others = Budget.UsedBytes - Bytes;
-      if (bytes > Bytes && others + 2 * bytes > Budget.MaxBytes) {
+      const std::size_t others = Budget->UsedBytes - Bytes;
+      if (bytes > Bytes && others + 2 * bytes > Budget->MaxBytes) {
         return false;
       }
-      Budget.UsedBytes = others + bytes;
+      Budget->UsedBytes = others + bytes;
       Bytes = bytes;
       return true;
     }
 
   private:
-    BufferBudget &Budget;
+    BufferBudget *Budget;
     std::size_t Bytes = 0;
   };
 
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -55,6 +55,27 @@
 
 } // namespace
 
+/// A body whose capacity is part of the common budget.
+struct Exchange::BufferedBody {
+  explicit BufferedBody(BufferBudget &budget) : Memory(budget) {}
+
+  /// Makes room for `bytes` in all; returns false if the budget has none.
+  bool reserve(std::size_t bytes) {
+    if (bytes <= Text.capacity()) {
+      return true;
+    }
+    const std::size_t capacity = std::max(bytes, 2 * Text.capacity());
+    if (!Memory.resize(capacity)) {
+      return false;
+    }
+    Text.reserve(capacity);
+    return true;
+  }
+
+  std::string Text;
+  BufferBudget::Lease Memory;
+};
+
 struct Exchange::ResponseReader {
   /// Bounded, since the parser waits for the end of a chunk's extension.
   beast::flat_buffer Buffer{MaxTargetBufferBytes};
@@ -170,7 +191,7 @@
     }
     Request.OnResponseHead(reader.Head, true);
     // Skips a duplicate response to an earlier request on this connection.
-    std::string ignored;
+    BufferedBody ignored(Buffers);
     const bool complete =
         co_await readBody(reader, ignored, MaxSkippedBodyBytes);
     if (!complete || !reader.Parser->get().keep_alive()) {
@@ -184,10 +205,11 @@
 }
 
 asio::awaitable<bool> Exchange::readBody(ResponseReader &reader,
-                                         std::string &body,
+                                         BufferedBody &body,
                                          std::size_t maxBytes) {
-  BufferBudget::Lease lease(Buffers);
-  while (!reader.Parser->is_done()) {
+  const boost::optional<std::uint64_t> stated = reader.Parser->content_length();
+  bool tooLarge = stated && !reader.Parser->is_done() && *stated > maxBytes;
+  while (!reader.Parser->is_done() && !tooLarge) {
     boost::system::error_code ec;
     reader.Parser->get().body().data = reader.PartBuffer.data();
     reader.Parser->get().body().size = reader.PartBuffer.size();
@@ -200,29 +222,28 @@
     }
     const std::size_t n =
         reader.PartBuffer.size() - reader.Parser->get().body().size;
-    if (body.size() + n > maxBytes) {
-      fail(ExchangeResult::Broken,
-           "response body larger than " + std::to_string(maxBytes) + " bytes");
-      co_return false;
+    const std::size_t size = body.Text.size() + n;
+    if (size > maxBytes) {
+      tooLarge = true;
+      break;
     }
-    if (body.size() + n > body.capacity()) {
-      const std::size_t capacity =
-          std::max(body.size() + n, 2 * body.capacity());
-      if (!lease.resize(capacity)) {
-        fail(ExchangeResult::Broken, "no memory to buffer more than " +
-                                         std::to_string(body.size()) +
-                                         " bytes of the response body");
-        co_return false;
-      }
-      body.reserve(capacity);
+    if (!body.reserve(size)) {
+      fail(ExchangeResult::Broken, "no memory to buffer more than " +
+                                       std::to_string(body.Text.size()) +
+                                       " bytes of the response body");
+      co_return false;
     }
-    body.append(reader.PartBuffer.data(), n);
+    body.Text.append(reader.PartBuffer.data(), n);
   }
-  co_return true;
+  if (tooLarge) {
+    fail(ExchangeResult::Broken,
+         "response body larger than " + std::to_string(maxBytes) + " bytes");
+  }
+  co_return !tooLarge;
 }
 
 /// Turns a complete response into an outcome.
-void Exchange::classifyResponse(ResponseReader &reader, std::string body) {
+void Exchange::classifyResponse(ResponseReader &reader, BufferedBody body) {
   if (reader.Head.NotRun) {
     Outcome.Result = reader.Head.Misdirected ? ExchangeResult::Misdirected
                                              : ExchangeResult::Refused;
@@ -249,7 +270,7 @@
   Outcome.Response = BufferedResponse{
       reader.Status,
       platform::makeForwardedResponseFields(reader.Parser->get().base()),
-      std::move(body)};
+      std::move(body.Text), std::move(body.Memory)};
 }
 
 asio::awaitable<bool> Exchange::forwardPart(ResponseReader &reader,
@@ -390,7 +411,7 @@
   if (Request.IsStream && isSuccess) {
     co_await forwardStream(reader);
   } else {
-    std::string body;
+    BufferedBody body(Buffers);
     const bool complete = co_await readBody(reader, body, MaxBufferedBodyBytes);
     if (complete) {
       classifyResponse(reader, std::move(body));
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -67,6 +67,7 @@
   bool awaitsResponse() const { return Outcome.RequestSent && !Transferred; }
 
 private:
+  struct BufferedBody;
   struct ResponseReader;
   boost::asio::awaitable<bool> connect();
   /// Sends the request while the response is awaited: a target may respond
@@ -77,7 +78,7 @@
   boost::asio::awaitable<void> stopSending();
   boost::asio::awaitable<bool> readHead(ResponseReader &reader);
   boost::asio::awaitable<bool>
-  readBody(ResponseReader &reader, std::string &body, std::size_t maxBytes);
+  readBody(ResponseReader &reader, BufferedBody &body, std::size_t maxBytes);
   boost::asio::awaitable<void> forwardStream(ResponseReader &reader);
   /// Returns false when the caller cannot be reached, which ends the exchange.
   boost::asio::awaitable<bool> forwardPart(ResponseReader &reader,
@@ -85,7 +86,7 @@
   bool isCutOff(const ResponseReader &reader) const;
   boost::asio::awaitable<void> transfer();
   boost::asio::awaitable<void> probeLostTarget();
-  void classifyResponse(ResponseReader &reader, std::string body);
+  void classifyResponse(ResponseReader &reader, BufferedBody body);
   void releaseConnection(ResponseReader &reader);
   void fail(routing::ExchangeResult result, std::string reason);
 
--- a/packages/gateway/src/response_writer.cpp
+++ b/packages/gateway/src/response_writer.cpp
@@ -54,22 +54,25 @@
   Finished = false;
 }
 
-asio::awaitable<bool> ResponseWriter::sendBytes(const std::string &text) {
+asio::awaitable<bool> ResponseWriter::sendBytes(std::string_view head,
+                                                std::string_view body) {
+  const std::array<asio::const_buffer, 2> parts{
+      asio::buffer(head.data(), head.size()),
+      asio::buffer(body.data(), body.size())};
   boost::system::error_code ec;
   Started = true;
-  co_await asio::async_write(CallerSocket, asio::buffer(text),
+  co_await asio::async_write(CallerSocket, parts,
                              asio::redirect_error(asio::use_awaitable, ec));
   co_return !ec;
 }
 
 asio::awaitable<bool> ResponseWriter::write(const BufferedResponse &response) {
-  std::string text = formatHead(response.Status, response.Fields, KeepAlive);
-  text.append("Content-Length: ")
+  std::string head = formatHead(response.Status, response.Fields, KeepAlive);
+  head.append("Content-Length: ")
       .append(std::to_string(response.Body.size()))
-      .append("\r\n\r\n")
-      .append(response.Body);
+      .append("\r\n\r\n");
   Finished = true;
-  const bool sent = co_await sendBytes(text);
+  const bool sent = co_await sendBytes(head, response.Body);
   co_return sent;
 }
 
--- a/packages/gateway/src/response_writer.h
+++ b/packages/gateway/src/response_writer.h
@@ -1,10 +1,13 @@
 /// Writes responses to one caller's connection.
 #pragma once
 
+#include "buffer_budget.h"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/fields.hpp>
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -17,6 +20,8 @@
   unsigned Status = 0;
   ResponseFields Fields;
   std::string Body;
+  /// Memory of `Body`, if it is part of a common budget.
+  std::optional<BufferBudget::Lease> Memory;
 };
 
 /// Functions that send return false when the caller cannot be reached.
@@ -43,7 +48,8 @@
   void disableKeepAlive() { KeepAlive = false; }
 
 private:
-  boost::asio::awaitable<bool> sendBytes(const std::string &text);
+  boost::asio::awaitable<bool> sendBytes(std::string_view head,
+                                         std::string_view body = {});
 
   boost::asio::ip::tcp::socket &CallerSocket;
   bool KeepAlive = true;
--- a/packages/gateway/test/gateway_endless_test.cpp
+++ b/packages/gateway/test/gateway_endless_test.cpp
@@ -272,6 +272,35 @@
   CHECK(peakMemory() < HostMemory);
 }
 
+// Guards against responses that are bounded while they are received and not
+// while they are sent.
+TEST_CASE_METHOD(GatewayManyEndlessFixture,
+                 "gateway_large_responses_to_callers_that_wait_are_bounded") {
+  constexpr int count = 20;
+  RawTarget large(freeLoopbackAddress(),
+                  [](RawTargetConnection &connection) -> asio::awaitable<void> {
+                    std::string text = connection.head("200 OK") +
+                                       "Connection: close\r\n"
+                                       "Content-Length: 4000000\r\n\r\n" +
+                                       std::string(4'000'000, 'x');
+                    co_await connection.send(std::move(text));
+                  });
+  writeTargetEntry(*FirstTarget, "ready", large.address());
+  Store->erase("servers/" + SecondTarget->id());
+  startRouter();
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (int i = 0; i < count; ++i) {
+    callers.push_back(
+        std::make_unique<RawCaller>(Routers.front().CallerAddress));
+    callers.back()->write("GET /safe/a HTTP/1.1\r\nHost: models.example\r\n"
+                          "Request-Id: id-" +
+                          std::to_string(i) + "\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  }
+  CHECK(sendRequest("/buy/a", "small").Status == 200);
+  CHECK(peakMemory() < HostMemory);
+}
+
 TEST_CASE("buffer_budget_large_leases_leave_room_for_small_ones") {
   constexpr std::size_t maxBytes = 16U << 20U;
   constexpr std::size_t step = 4'096;
