Answer requests that arrive with the end of the idle time

Callers on kept connections got a closed connection and no answer for a whole request, where the router was late or suspended while the connection's idle time ended, or while a stop closed idle connections.

Cause: a connection that has served a request keeps its wait for the caller's end. With the next request, the reactor completes that wait and the receive in one pass, and queues the handler of the second behind expired timers. The idle timer looked at the socket, found no unread bytes and closed it; the request, read whole, then counted as that of a caller who has left.

Timers and stops now cancel the wait for bytes instead of closing the socket, and the session decides by what the receive returned. closeIfIdle had the same fault.

Tests: gateway_next_requests_received_while_frozen_are_answered lost up to 12 of 20 requests a case on the code before (three of three runs failed), ..._in_ stop_are_answered up to 12 of 20 (two of three runs); both pass five times in a row. All 121 cases of gateway_test pass in one run.

--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -84,7 +84,13 @@
     std::optional<routing::EventStreamBuffer> Events;
   };
 
+  using ParserState = bool (Parser::*)() const;
+
   asio::awaitable<bool> readRequest(Parser &parser);
+  /// Reads until the parser has reached a state; fails with `operation_aborted`
+  /// when the read timer expires before.
+  asio::awaitable<boost::system::error_code> readUntil(Parser &parser,
+                                                       ParserState isReached);
   /// Reads and drops what the caller still sends: the system resets a
   /// connection that is closed with unread bytes, and the caller may lose the
   /// response.
@@ -105,6 +111,12 @@
                  unsigned status, const std::string &reason);
 
   void armTimer(Duration delay, CancelCause cause, bool mayExtend = true);
+  /// Sets the timer that ends reading.
+  void armReadTimer(Duration delay);
+  /// Ends a wait for bytes of the caller. Bytes that the system has handed over
+  /// are not lost: their handler may still be queued, so that the socket does
+  /// not tell whether a request has arrived.
+  void stopReading();
   /// Whether bytes that the session waits for have arrived.
   bool hasUnreadBytes();
   void watchCaller();
@@ -154,6 +166,11 @@
   });
 }
 
+void Session::armReadTimer(Duration delay) {
+  CancelledBy = CancelCause::None;
+  armTimer(delay, CancelCause::TimeLimit);
+}
+
 bool Session::hasUnreadBytes() {
   return CurrentExchange != nullptr
              ? CurrentExchange->hasUnreadBytes()
@@ -168,16 +185,15 @@
     CurrentExchange->abort();
   } else if (cause == CancelCause::TimeLimit ||
              cause == CancelCause::DrainTimeout) {
-    // No request is in flight: the caller was idle or sent its request too
-    // slowly.
-    if (!AwaitsRequest && cause == CancelCause::TimeLimit) {
-      logLine("callers", "request_not_read", {{"reason", "time limit"}});
-    }
-    boost::system::error_code ec;
-    CallerSocket.close(ec);
+    stopReading();
   }
 }
 
+void Session::stopReading() {
+  boost::system::error_code ec;
+  CallerSocket.cancel(ec);
+}
+
 void Session::endRequest(bool readsFirst) {
   if (CurrentExchange != nullptr && !(readsFirst && hasUnreadBytes())) {
     cancel(CancelCause::TimeLimit);
@@ -187,7 +203,7 @@
 void Session::closeIfIdle() {
   boost::system::error_code ec;
   if (AwaitsRequest && CallerSocket.available(ec) == 0) {
-    CallerSocket.close(ec);
+    stopReading();
   }
 }
 
@@ -203,7 +219,12 @@
                               return;
                             }
                             WatchingCaller = false;
-                            if (ec || CurrentExchange == nullptr) {
+                            if (CurrentExchange == nullptr) {
+                              return;
+                            }
+                            if (ec == asio::error::operation_aborted) {
+                              // Cancelled while the request was awaited.
+                              watchCaller();
                               return;
                             }
                             const SocketState state = peekSocket(CallerSocket);
@@ -229,23 +250,28 @@
     return asio::redirect_error(asio::use_awaitable, ec);
   };
   AwaitsRequest = ReadBuffer.size() == 0;
-  armTimer(AwaitsRequest ? Context.Callers.idleTimeout(limits.IdleTimeout)
-                         : Duration(limits.HeaderTimeout),
-           CancelCause::TimeLimit);
-  while (!ec && !parser.is_header_done()) {
+  armReadTimer(AwaitsRequest ? Context.Callers.idleTimeout(limits.IdleTimeout)
+                             : Duration(limits.HeaderTimeout));
+  if (AwaitsRequest) {
     co_await http::async_read_some(CallerSocket, ReadBuffer, parser, token());
-    if (!ec && AwaitsRequest && !parser.is_header_done()) {
-      armTimer(limits.HeaderTimeout, CancelCause::TimeLimit);
+    AwaitsRequest = ec == asio::error::operation_aborted;
+    if (!ec && !parser.is_header_done()) {
+      armReadTimer(limits.HeaderTimeout);
     }
-    AwaitsRequest = false;
+  }
+  if (!ec) {
+    ec = co_await readUntil(parser, &Parser::is_header_done);
   }
   if (!ec && parser.get()[http::field::expect] == "100-continue") {
     constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
     co_await asio::async_write(CallerSocket, asio::buffer(interim), token());
   }
   if (!ec && !parser.is_done()) {
-    armTimer(limits.IdleTimeout, CancelCause::TimeLimit);
-    co_await http::async_read(CallerSocket, ReadBuffer, parser, token());
+    armReadTimer(limits.IdleTimeout);
+    ec = co_await readUntil(parser, &Parser::is_done);
+  }
+  if (!AwaitsRequest && ec == asio::error::operation_aborted) {
+    logLine("callers", "request_not_read", {{"reason", "time limit"}});
   }
   if (!ec) {
     co_return true;
@@ -269,12 +295,28 @@
   co_return false;
 }
 
+asio::awaitable<boost::system::error_code>
+Session::readUntil(Parser &parser, ParserState isReached) {
+  boost::system::error_code ec;
+  while (!ec && !(parser.*isReached)()) {
+    co_await http::async_read_some(
+        CallerSocket, ReadBuffer, parser,
+        asio::redirect_error(asio::use_awaitable, ec));
+    // Bytes that had been received when the time ended still count.
+    if (!ec && !(parser.*isReached)() && CancelledBy != CancelCause::None) {
+      ec = asio::error::operation_aborted;
+    }
+  }
+  co_return ec;
+}
+
 asio::awaitable<void> Session::drainCaller() {
   std::array<char, 4U << 10U> ignored{};
   boost::system::error_code ec;
   CallerSocket.shutdown(tcp::socket::shutdown_send, ec);
+  CancelledBy = CancelCause::None;
   armTimer(MaxDrainTime, CancelCause::DrainTimeout, false);
-  while (!ec) {
+  while (!ec && CancelledBy == CancelCause::None) {
     co_await CallerSocket.async_read_some(
         asio::buffer(ignored), asio::redirect_error(asio::use_awaitable, ec));
   }
--- a/packages/gateway/test/gateway_lost_requests_test.cpp
+++ b/packages/gateway/test/gateway_lost_requests_test.cpp
@@ -3,12 +3,15 @@
 #include "raw_target.h"
 
 #include <boost/asio.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 #include <csignal>
 #include <thread>
 
 namespace nutmegsill::standin {
 
 namespace asio = boost::asio;
+namespace http = boost::beast::http;
 using std::chrono::milliseconds;
 
 class GatewayLostRequestsFixture : protected GatewayFixture {
@@ -258,40 +261,95 @@
   CHECK(response.Complete);
 }
 
+class GatewayFrozenIdleFixture : protected GatewayFrozenFixture {
+protected:
+  using Socket = asio::ip::tcp::socket;
+
+  void openCallers(int count) {
+    const std::string &text = Routers[0].CallerAddress;
+    const std::size_t colon = text.find(':');
+    const asio::ip::tcp::endpoint address(
+        asio::ip::make_address(text.substr(0, colon)),
+        static_cast<unsigned short>(std::stoi(text.substr(colon + 1))));
+    for (int i = 0; i < count; ++i) {
+      Callers.emplace_back(Io);
+      Callers.back().connect(address);
+    }
+  }
+  void sendOnEach(const std::string &path) {
+    for (Socket &it : Callers) {
+      const std::string id = "id-" + std::to_string(++LastRequest);
+      asio::write(it, asio::buffer(postText(path, id, 4)));
+    }
+  }
+  /// Reads a response on each connection; returns how many are complete.
+  std::size_t readOnEach() {
+    std::size_t answered = 0;
+    for (Socket &it : Callers) {
+      boost::beast::flat_buffer buf;
+      http::response<http::string_body> response;
+      boost::system::error_code ec;
+      http::read(it, buf, response, ec);
+      answered += ec ? 0 : 1;
+    }
+    return answered;
+  }
+  /// Suspends the router for `span` and sends a request on each connection
+  /// during that time.
+  void sendOnEachWhileFrozen(const std::string &path, milliseconds span) {
+    RouterProcesses[0].signal(SIGSTOP);
+    sendOnEach(path);
+    std::this_thread::sleep_for(span);
+    RouterProcesses[0].signal(SIGCONT);
+  }
+
+  asio::io_context Io;
+  std::vector<Socket> Callers;
+  int LastRequest = 0;
+};
+
 // Guards against an idle timer that closes connections on which a request has
 // arrived while the router did not run.
-TEST_CASE_METHOD(GatewayFrozenFixture,
+TEST_CASE_METHOD(GatewayFrozenIdleFixture,
                  "gateway_requests_received_while_frozen_are_answered") {
-  constexpr int connections = 300;
   setLimit("idle-timeout-ms", 1'500);
   startRouter();
-  asio::io_context io;
-  const std::size_t colon = Routers[0].CallerAddress.find(':');
-  const asio::ip::tcp::endpoint address(
-      asio::ip::make_address(Routers[0].CallerAddress.substr(0, colon)),
-      static_cast<unsigned short>(
-          std::stoi(Routers[0].CallerAddress.substr(colon + 1))));
-  std::vector<asio::ip::tcp::socket> callers;
-  for (int i = 0; i < connections; ++i) {
-    callers.emplace_back(io);
-    callers.back().connect(address);
-  }
+  openCallers(300);
   std::this_thread::sleep_for(milliseconds(200));
-  RouterProcesses[0].signal(SIGSTOP);
-  for (int i = 0; i < connections; ++i) {
-    const std::string text = postText("/buy/a", "id-" + std::to_string(i), 4);
-    asio::write(callers[static_cast<std::size_t>(i)], asio::buffer(text));
-  }
-  std::this_thread::sleep_for(milliseconds(1'600));
-  RouterProcesses[0].signal(SIGCONT);
-  int answered = 0;
-  for (asio::ip::tcp::socket &it : callers) {
-    std::string text;
-    boost::system::error_code ec;
-    asio::read_until(it, asio::dynamic_buffer(text), "\r\n\r\n", ec);
-    answered += ec ? 0 : 1;
-  }
-  CHECK(answered == connections);
+  sendOnEachWhileFrozen("/buy/a", milliseconds(1'600));
+  CHECK(readOnEach() == Callers.size());
+}
+
+// Guards against an idle timer that closes a connection whose next request the
+// system has handed over and the session has not seen.
+TEST_CASE_METHOD(GatewayFrozenIdleFixture,
+                 "gateway_next_requests_received_while_frozen_are_answered") {
+  const std::string path = GENERATE("/safe/a", "/buy/a", "/stream/whole/a");
+  setLimit("idle-timeout-ms", 1'500);
+  startRouter();
+  openCallers(20);
+  sendOnEach(path);
+  CHECK(readOnEach() == Callers.size());
+  std::this_thread::sleep_for(milliseconds(900));
+  sendOnEachWhileFrozen(path, milliseconds(900));
+  CAPTURE(path);
+  CHECK(readOnEach() == Callers.size());
+}
+
+// The same with the step of a stop that closes idle connections.
+TEST_CASE_METHOD(GatewayFrozenIdleFixture,
+                 "gateway_next_requests_received_while_frozen_in_stop_are_"
+                 "answered") {
+  StopGraceS = 2;
+  startRouter();
+  openCallers(20);
+  sendOnEach("/safe/a");
+  CHECK(readOnEach() == Callers.size());
+  RouterProcesses[0].signal(SIGTERM);
+  // Between the end of admission and the closing of idle connections.
+  std::this_thread::sleep_for(milliseconds(850));
+  sendOnEachWhileFrozen("/safe/a", milliseconds(300));
+  CHECK(readOnEach() == Callers.size());
 }
 
 } // namespace nutmegsill::standin
