End responses to HEAD with their header

A caller that had sent HEAD got an error of the router's own with a body; on a kept connection its next response, of a certificate that was issued, began with these bytes.

The writer of responses did not know the request's method. Now it does, and sends the header alone to HEAD and with the statuses 204 and 304, which had a length, or chunks on stream routes. The servers of the directory and of the readiness check had the same fault.

--- a/packages/gateway/src/json_server.cpp
+++ b/packages/gateway/src/json_server.cpp
@@ -53,8 +53,14 @@
     response.keep_alive(keepAlive);
     response.body() = std::move(result.Body);
     response.prepare_payload();
-    co_await http::async_write(stream, response,
-                               asio::redirect_error(asio::use_awaitable, ec));
+    if (parser.get().method() == http::verb::head) {
+      http::response_serializer<http::string_body> header{response};
+      co_await http::async_write_header(
+          stream, header, asio::redirect_error(asio::use_awaitable, ec));
+    } else {
+      co_await http::async_write(stream, response,
+                                 asio::redirect_error(asio::use_awaitable, ec));
+    }
     if (ec) {
       co_return;
     }
--- a/packages/gateway/src/response_writer.cpp
+++ b/packages/gateway/src/response_writer.cpp
@@ -17,6 +17,9 @@
 
 constexpr std::string_view LastChunk = "0\r\n\r\n";
 
+/// Whether responses with this status end with their header (RFC 9112, 6.3).
+bool hasNoBody(unsigned status) { return status == 204 || status == 304; }
+
 std::string formatHead(unsigned status, const ResponseFields &fields,
                        bool keepAlive) {
   std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
@@ -48,8 +51,9 @@
 
 } // namespace
 
-void ResponseWriter::reset(bool keepAlive) {
+void ResponseWriter::reset(bool keepAlive, bool isHead) {
   KeepAlive = keepAlive;
+  HeaderOnly = isHead;
   Started = false;
   Finished = false;
 }
@@ -67,40 +71,54 @@
 }
 
 asio::awaitable<bool> ResponseWriter::write(const BufferedResponse &response) {
+  HeaderOnly = HeaderOnly || hasNoBody(response.Status);
   std::string head = formatHead(response.Status, response.Fields, KeepAlive);
-  head.append("Content-Length: ")
-      .append(std::to_string(response.Body.size()))
-      .append("\r\n\r\n");
+  if (!HeaderOnly || !response.Body.empty()) {
+    head.append("Content-Length: ")
+        .append(std::to_string(response.Body.size()))
+        .append("\r\n");
+  }
+  head.append("\r\n");
   Finished = true;
-  const bool sent = co_await sendBytes(head, response.Body);
+  const std::string_view body =
+      HeaderOnly ? std::string_view() : std::string_view(response.Body);
+  const bool sent = co_await sendBytes(head, body);
   co_return sent;
 }
 
 asio::awaitable<bool> ResponseWriter::beginChunked(unsigned status,
                                                    const ResponseFields &fields,
                                                    std::string_view part) {
+  HeaderOnly = HeaderOnly || hasNoBody(status);
   std::string text = formatHead(status, fields, KeepAlive);
-  text.append("Transfer-Encoding: chunked\r\n\r\n");
-  appendChunk(text, part);
+  if (HeaderOnly) {
+    text.append("\r\n");
+  } else {
+    text.append("Transfer-Encoding: chunked\r\n\r\n");
+    appendChunk(text, part);
+  }
   const bool sent = co_await sendBytes(text);
   co_return sent;
 }
 
 asio::awaitable<bool> ResponseWriter::writeChunk(std::string_view part) {
-  std::string text;
-  appendChunk(text, part);
-  if (text.empty()) {
+  if (part.empty() || HeaderOnly) {
     co_return true;
   }
+  std::string text;
+  appendChunk(text, part);
   const bool sent = co_await sendBytes(text);
   co_return sent;
 }
 
 asio::awaitable<bool> ResponseWriter::finishChunked(std::string_view part) {
+  Finished = true;
+  if (HeaderOnly) {
+    co_return true;
+  }
   std::string text;
   appendChunk(text, part);
   text.append(LastChunk);
-  Finished = true;
   const bool sent = co_await sendBytes(text);
   co_return sent;
 }
--- a/packages/gateway/src/response_writer.h
+++ b/packages/gateway/src/response_writer.h
@@ -30,8 +30,9 @@
   explicit ResponseWriter(boost::asio::ip::tcp::socket &caller)
       : CallerSocket(caller) {}
 
-  /// Prepares for the next response on the connection.
-  void reset(bool keepAlive);
+  /// Prepares for the next response on the connection. The response to a HEAD
+  /// request has no body.
+  void reset(bool keepAlive, bool isHead);
 
   boost::asio::awaitable<bool> write(const BufferedResponse &response);
   /// Sends the header and the first part of a chunked response.
@@ -53,6 +54,8 @@
 
   boost::asio::ip::tcp::socket &CallerSocket;
   bool KeepAlive = true;
+  /// Only the header of the response is sent.
+  bool HeaderOnly = false;
   bool Started = false;
   bool Finished = false;
 };
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -285,7 +285,7 @@
     response.Status = ec == http::error::header_limit ? 431
                       : ec == http::error::body_limit ? 413
                                                       : 400;
-    Writer.reset(false);
+    Writer.reset(false, false);
     co_await Writer.write(response);
     logLine("request", "malformed",
             {{"status", std::to_string(response.Status)},
@@ -338,7 +338,8 @@
     request.ArrivedAt = bootTimeNow();
     request.Message = parser.release();
     Writer.reset(request.Message.keep_alive() && !Context.Shared.isDraining() &&
-                 Context.Callers.mayKeepAlive());
+                     Context.Callers.mayKeepAlive(),
+                 request.Message.method() == http::verb::head);
     ++Context.RequestsInFlight;
     co_await serveRequest(request);
     --Context.RequestsInFlight;
--- /dev/null
+++ b/packages/gateway/test/gateway_framing_test.cpp
@@ -0,0 +1,113 @@
+// Where messages begin and end on a connection.
+#include "gateway_fixture.h"
+#include "nutmegsill/http_client.h"
+#include "raw_target.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace nutmegsill::standin {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+class GatewayFramingFixture : protected GatewayFixture {
+protected:
+  using Response = http::response<http::string_body>;
+
+  /// One connection that is read like a caller does who knows the method of
+  /// each request.
+  class Connection {
+  public:
+    explicit Connection(const std::string &address) {
+      Socket.connect(*parseEndpoint(address));
+    }
+    /// Sends a request and reads its response; status 0 if none is read.
+    Response exchange(const std::string &method, const std::string &path,
+                      const std::string &fields = "",
+                      const std::string &body = "") {
+      const std::string text = method + " " + path +
+                               " HTTP/1.1\r\nHost: models.example\r\n" +
+                               "Request-Id: id-" + std::to_string(++Sent) +
+                               "\r\n" + fields + "\r\n" + body;
+      boost::system::error_code ec;
+      asio::write(Socket, asio::buffer(text), ec);
+      http::response_parser<http::string_body> parser;
+      parser.skip(method == "HEAD");
+      http::read(Socket, Buffer, parser, ec);
+      Response response = parser.release();
+      if (ec) {
+        response.result(0U);
+      }
+      return response;
+    }
+    /// Bytes beyond the last response.
+    std::size_t extraBytes() const { return Buffer.size(); }
+
+  private:
+    asio::io_context Io;
+    asio::ip::tcp::socket Socket{Io};
+    beast::flat_buffer Buffer;
+    int Sent = 0;
+  };
+};
+
+// Guards against a body after a response to HEAD, which begins the next one.
+TEST_CASE_METHOD(GatewayFramingFixture,
+                 "gateway_own_response_to_head_has_no_body") {
+  const std::pair<std::string, unsigned> expected =
+      GENERATE(std::pair<std::string, unsigned>{"/keyed/a", 401},
+               std::pair<std::string, unsigned>{"/unknown/a", 404},
+               std::pair<std::string, unsigned>{"/buy/a", 503});
+  writeConfig(configText(4, "\"key-prints\"", "none"));
+  startRouter();
+  Connection connection(Routers[0].CallerAddress);
+  const Response first = connection.exchange("HEAD", expected.first);
+  CAPTURE(expected.first);
+  CHECK(first.result_int() == expected.second);
+  const Response next = connection.exchange("GET", "/safe/a");
+  CHECK(next.result_int() == 200);
+  CHECK(next.body() == "answer to id-2");
+}
+
+TEST_CASE_METHOD(GatewayFramingFixture,
+                 "gateway_directory_response_to_head_has_no_body") {
+  startRouter();
+  const std::string path = "/resolve?name=models.example&zone=zone-a";
+  for (const std::string &address :
+       {Routers[0].DirectoryAddress, Routers[0].ReadinessAddress}) {
+    Connection connection(address);
+    connection.exchange("HEAD", path);
+    const Response next = connection.exchange("GET", path);
+    CHECK(next.result_int() != 0);
+    CHECK(connection.extraBytes() == 0);
+  }
+}
+
+// Guards against a length or chunks after a status that has no body.
+TEST_CASE_METHOD(GatewayFramingFixture,
+                 "gateway_response_without_content_has_no_body") {
+  const RawTarget target(
+      freeLoopbackAddress(),
+      [](RawTargetConnection &connection) -> asio::awaitable<void> {
+        std::string text =
+            connection.head("204 No Content") + "Connection: close\r\n\r\n";
+        co_await connection.send(std::move(text));
+      });
+  writeTargetEntry(*FirstTarget, "ready", target.address());
+  Store->erase("servers/" + SecondTarget->id());
+  startRouter();
+  Connection connection(Routers[0].CallerAddress);
+  for (int i = 0; i < 3; ++i) {
+    const Response response =
+        connection.exchange("POST", "/safe/a", "Content-Length: 0\r\n");
+    CHECK(response.result_int() == 204);
+    CHECK(response.count(http::field::transfer_encoding) == 0);
+    CHECK(response.count(http::field::content_length) == 0);
+    CHECK(connection.extraBytes() == 0);
+  }
+}
+
+} // namespace nutmegsill::standin
