Reject bodies with an unknown transfer coding

Text in the body of a request ran as a request of its own, and the request itself with an empty body, where the caller used a transfer coding other than chunked.

The HTTP library ignores a Transfer-Encoding that does not end in chunked and takes the body for empty, or, in a response, for one without a length; nothing else looked at the field. Now all such fields of a message together must say chunked and nothing else: a request gets 400 and its connection is closed, a response of a target is broken. The small servers close the connection.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -1,6 +1,7 @@
 #include "exchange.h"
 
 #include "clock.h"
+#include "nutmegsill/transfer_coding.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -175,6 +176,10 @@
                      : "cannot read the response header: " + ec.message());
       co_return false;
     }
+    if (hasUnknownTransferCoding(reader.Parser->get())) {
+      fail(ExchangeResult::Broken, "unknown transfer coding");
+      co_return false;
+    }
     reader.Status = reader.Parser->get().result_int();
     reader.Head = platform::parseResponseHead(reader.Parser->get().base());
     if (reader.Status < FirstFinalStatus) {
--- a/packages/gateway/src/json_server.cpp
+++ b/packages/gateway/src/json_server.cpp
@@ -1,6 +1,7 @@
 #include "json_server.h"
 
 #include "log.h"
+#include "nutmegsill/transfer_coding.h"
 #include "spawn.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -40,7 +41,7 @@
     stream.expires_after(KeepAliveTimeout);
     co_await http::async_read(stream, buf, parser,
                               asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) {
+    if (ec || hasUnknownTransferCoding(parser.get())) {
       co_return;
     }
     keepAlive = parser.get().keep_alive();
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -4,6 +4,7 @@
 #include "log.h"
 #include "nutmegsill/routing/admission.h"
 #include "nutmegsill/routing/request_lifecycle.h"
+#include "nutmegsill/transfer_coding.h"
 #include "traffic_server.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -262,6 +263,9 @@
   if (!ec) {
     ec = co_await readUntil(parser, &Parser::is_header_done);
   }
+  if (!ec && hasUnknownTransferCoding(parser.get())) {
+    ec = http::error::bad_transfer_encoding;
+  }
   if (!ec && parser.get()[http::field::expect] == "100-continue") {
     constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
     co_await asio::async_write(CallerSocket, asio::buffer(interim), token());
--- a/packages/gateway/test/gateway_framing_test.cpp
+++ b/packages/gateway/test/gateway_framing_test.cpp
@@ -110,4 +110,65 @@
   }
 }
 
+// Guards against a body that runs as a request of its own.
+TEST_CASE_METHOD(GatewayFramingFixture,
+                 "gateway_request_with_unknown_transfer_coding_is_rejected") {
+  const std::string codings =
+      GENERATE("Transfer-Encoding: gzip\r\n", "Transfer-Encoding: identity\r\n",
+               "Transfer-Encoding: chunked, identity\r\n",
+               "Transfer-Encoding: gzip, chunked\r\n",
+               "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
+               "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+               "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n");
+  startRouter();
+  const std::string smuggled =
+      "POST /buy/a HTTP/1.1\r\nHost: models.example\r\nRequest-Id: "
+      "smuggled\r\nContent-Length: 0\r\n\r\n";
+  Connection connection(Routers[0].CallerAddress);
+  const Response response =
+      connection.exchange("POST", "/buy/a", codings, smuggled);
+  CAPTURE(codings);
+  CHECK(response.result_int() == 400);
+  CHECK(response[http::field::connection] == "close");
+  CHECK(connection.exchange("GET", "/safe/a").result_int() == 0);
+  CHECK(FirstTarget->receivedRequests().size() +
+            SecondTarget->receivedRequests().size() ==
+        0);
+}
+
+TEST_CASE_METHOD(GatewayFramingFixture,
+                 "gateway_request_in_chunks_is_forwarded") {
+  startRouter();
+  const std::string coding =
+      GENERATE("chunked", "Chunked", "  chunked  ", "CHUNKED");
+  Connection connection(Routers[0].CallerAddress);
+  const Response response = connection.exchange(
+      "POST", "/buy/a", "Transfer-Encoding: " + coding + "\r\n",
+      "4\r\nbody\r\n0\r\n\r\n");
+  CHECK(response.result_int() == 200);
+  CHECK(FirstTarget->receivedRequests().size() +
+            SecondTarget->receivedRequests().size() ==
+        1);
+}
+
+// Guards against coded bytes that are passed on without their coding.
+TEST_CASE_METHOD(GatewayFramingFixture,
+                 "gateway_response_with_unknown_transfer_coding_is_broken") {
+  const std::string coding = GENERATE("gzip", "gzip, chunked", "identity");
+  const RawTarget target(
+      freeLoopbackAddress(),
+      [coding](RawTargetConnection &connection) -> asio::awaitable<void> {
+        std::string text = connection.head("200 OK") +
+                           "Transfer-Encoding: " + coding +
+                           "\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+        co_await connection.send(std::move(text));
+        connection.close();
+      });
+  writeTargetEntry(*FirstTarget, "ready", target.address());
+  Store->erase("servers/" + SecondTarget->id());
+  startRouter();
+  CAPTURE(coding);
+  CHECK(sendRequest("/buy/a", "id-1").Status == 502);
+}
+
 } // namespace nutmegsill::standin
