End streams whose response has no content

A stream whose target closed its connection after the last event went on at another target, which answered with an empty body; the caller waited for the route's timeout, then its connection was closed. A caller that resumed the stream itself got 504.

forwardStream read on before it asked whether the message was complete, so that a response that ends with its header was waited for to the deadline: one with a length of 0, with the status 204, or to HEAD. Now it asks first, as readBody does.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -322,9 +322,12 @@
     boost::system::error_code ec;
     reader.Parser->get().body().data = reader.PartBuffer.data();
     reader.Parser->get().body().size = reader.PartBuffer.size();
-    co_await http::async_read_some(
-        *Connection, reader.Buffer, *reader.Parser,
-        asio::redirect_error(asio::use_awaitable, ec));
+    // A response without content is complete with its header.
+    if (!reader.Parser->is_done()) {
+      co_await http::async_read_some(
+          *Connection, reader.Buffer, *reader.Parser,
+          asio::redirect_error(asio::use_awaitable, ec));
+    }
     if (ec && ec != http::error::need_buffer) {
       fail(ExchangeResult::Broken, "stream cut: " + ec.message());
       co_return;
--- a/packages/standins/src/target_standin.cpp
+++ b/packages/standins/src/target_standin.cpp
@@ -288,6 +288,10 @@
     }
     co_await exchange.sleep(pause);
   }
+  if (mode == TargetMode::StreamsCutBeforeEnd) {
+    exchange.closeConnection();
+    co_return;
+  }
   co_await exchange.finishChunked();
 }
 
--- a/packages/standins/src/target_standin.h
+++ b/packages/standins/src/target_standin.h
@@ -26,6 +26,8 @@
   DroppingResponses,
   /// Resets the connection in the middle of event number 3 of a stream.
   TruncatingStreams,
+  /// Closes the connection after the last event, before the last chunk.
+  StreamsCutBeforeEnd,
   // The modes below send streams with neither a length nor chunks, which end
   // with their connection.
   /// The stream is complete.
