Reset the connections of requests that are given up

Requests that a router had given up, with 504 or 502 to the caller, reached a target some seconds later, when a cut had healed: in an evacuated zone, and one that may run only once among them.

A request whose time ended, or whose caller left, had its connection closed in due form, so that the system went on sending what was unacknowledged. And where the system had given a connection up by itself, after 3 s without an acknowledgement, it could not be reset any more.

A connection whose response is not complete is now closed with a reset. A request that is unacknowledged for 1 s on a connection on which nothing was heard for 2.4 s is given up before the system does it; AcknowledgementPolicy decides.

--- a/packages/gateway/src/caller_connections.cpp
+++ b/packages/gateway/src/caller_connections.cpp
@@ -24,6 +24,12 @@
   }
 }
 
+void CallerConnections::checkTargets(Time now) const {
+  for (CallerConnection *it : Open) {
+    it->checkTarget(now);
+  }
+}
+
 Duration CallerConnections::idleTimeout(Duration configured) const {
   if (Open.size() >= KeepAliveLimit) {
     return std::min<Duration>(MinIdleTimeout, configured);
--- a/packages/gateway/src/caller_connections.h
+++ b/packages/gateway/src/caller_connections.h
@@ -18,6 +18,8 @@
   /// Closes the connection unless a request is being served or has begun to
   /// arrive.
   virtual void closeIfIdle() = 0;
+  /// Gives a request up that its target does not acknowledge.
+  virtual void checkTarget(Time now) = 0;
 
 protected:
   ~CallerConnection() = default;
@@ -36,6 +38,7 @@
   void remove(CallerConnection &connection) { Open.erase(&connection); }
   void endRequests(bool readFirst) const;
   void closeIdle() const;
+  void checkTargets(Time now) const;
   std::size_t size() const { return Open.size(); }
   /// Whether a connection may stay open after its response.
   bool mayKeepAlive() const { return Open.size() < KeepAliveLimit; }
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -1,6 +1,7 @@
 #include "exchange.h"
 
 #include "clock.h"
+#include "nutmegsill/routing/acknowledgement_policy.h"
 #include "nutmegsill/transfer_coding.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -94,8 +95,26 @@
 
 void Exchange::abort() {
   Aborted = true;
+  discardConnection();
+}
+
+void Exchange::checkAcknowledged(Time now) {
+  constexpr routing::AcknowledgementPolicy policy;
+  const bool isOverdue = awaitsResponse() && !HeadReceived && !Sending &&
+                         Connection && Connection->is_open() &&
+                         policy.isOverdue(now - SentAt, now - HeardAt);
+  if (isOverdue && unacknowledgedBytes(*Connection) > 0) {
+    Unacknowledged = true;
+    discardConnection();
+  }
+}
+
+/// Closes the connection with a TCP reset, which discards what the system still
+/// holds of the request: a target must not get it after it has been given up.
+void Exchange::discardConnection() {
   if (Connection) {
     boost::system::error_code ec;
+    Connection->set_option(asio::socket_base::linger(true, 0), ec);
     Connection->close(ec);
   }
 }
@@ -114,11 +133,14 @@
 asio::awaitable<bool> Exchange::connect() {
   // Without an id, the response could not be told from one to another request.
   if (!Request.RequestId.empty()) {
-    Connection = Connections.take(Request.TargetEndpoint, bootTimeNow());
-  }
-  if (Connection) {
-    IsReused = true;
-    co_return true;
+    std::optional<TargetConnectionPool::IdleConnection> idle =
+        Connections.take(Request.TargetEndpoint, bootTimeNow());
+    if (idle) {
+      Connection.emplace(std::move(idle->Connection));
+      HeardAt = idle->IdleSince;
+      IsReused = true;
+      co_return true;
+    }
   }
   boost::system::error_code ec;
   Connection.emplace(co_await asio::this_coro::executor);
@@ -128,6 +150,7 @@
     fail(ExchangeResult::Unreachable, ec.message());
     co_return false;
   }
+  HeardAt = bootTimeNow();
   enableDeadPeerDetection(*Connection);
   co_return true;
 }
@@ -138,12 +161,14 @@
       asio::buffer(Request.Body.data(), Request.Body.size())};
   Request.OnConnected();
   Outcome.RequestSent = true;
+  SentAt = bootTimeNow();
   Sending = true;
   SendingEnd.emplace(Connection->get_executor(),
                      asio::steady_timer::time_point::max());
   asio::async_write(*Connection, parts,
                     [this](boost::system::error_code ec, std::size_t) {
                       Sending = false;
+                      SentAt = bootTimeNow();
                       SendError = ec;
                       SendingEnd->cancel();
                     });
@@ -152,7 +177,7 @@
 asio::awaitable<void> Exchange::stopSending() {
   boost::system::error_code ec;
   if (Sending) {
-    Connection->close(ec);
+    discardConnection();
   }
   while (Sending) {
     co_await SendingEnd->async_wait(
@@ -172,8 +197,9 @@
         asio::redirect_error(asio::use_awaitable, ec));
     if (ec) {
       fail(ExchangeResult::Broken,
-           SendError ? "cannot send the request: " + SendError.message()
-                     : "cannot read the response header: " + ec.message());
+           Unacknowledged ? "request not acknowledged"
+           : SendError    ? "cannot send the request: " + SendError.message()
+                          : "cannot read the response header: " + ec.message());
       co_return false;
     }
     if (hasUnknownTransferCoding(reader.Parser->get())) {
@@ -377,11 +403,12 @@
 }
 
 void Exchange::releaseConnection(ResponseReader &reader) {
+  ResponseReceived = reader.Parser->is_done();
   const bool reusable =
       Outcome.Result != ExchangeResult::Broken && !Sending && !SendError &&
-      reader.Parser && reader.Parser->is_done() &&
-      reader.Parser->get().keep_alive() && !reader.Parser->need_eof() &&
-      reader.Buffer.size() == 0 && !reader.Head.RequestId.empty();
+      ResponseReceived && reader.Parser->get().keep_alive() &&
+      !reader.Parser->need_eof() && reader.Buffer.size() == 0 &&
+      !reader.Head.RequestId.empty();
   if (!reusable || Aborted) {
     return;
   }
@@ -390,7 +417,7 @@
                                    : Duration(DefaultIdleTimeout);
   const Time now = bootTimeNow();
   if (idleTimeout > IdleTimeoutMargin) {
-    Connections.put(Request.TargetEndpoint, std::move(*Connection),
+    Connections.put(Request.TargetEndpoint, std::move(*Connection), now,
                     now + idleTimeout - IdleTimeoutMargin,
                     Request.MaxIdleConnections);
     Connection.reset();
@@ -408,6 +435,7 @@
   if (!headReceived) {
     co_return;
   }
+  HeadReceived = true;
   Request.OnResponseHead(reader.Head, false);
   const bool isSuccess = reader.Status < FirstRedirectStatus &&
                          reader.Head.Signed && !reader.Head.NotRun;
@@ -444,6 +472,9 @@
   co_await transfer();
   Transferred = true;
   co_await stopSending();
+  if (!ResponseReceived) {
+    discardConnection();
+  }
   if (Outcome.Result == ExchangeResult::Broken) {
     Connection.reset();
     co_await probeLostTarget();
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -61,6 +61,8 @@
   boost::asio::awaitable<ExchangeOutcome> run();
   /// Closes the connection to the target, which ends `run`.
   void abort();
+  /// Ends `run` if the target has not acknowledged the request for too long.
+  void checkAcknowledged(Time now);
   /// Whether bytes of the target, or their end, wait to be read.
   bool hasUnreadBytes();
   /// Whether the target has the request, and its response is not complete.
@@ -86,6 +88,7 @@
   bool isCutOff(const ResponseReader &reader) const;
   boost::asio::awaitable<void> transfer();
   boost::asio::awaitable<void> probeLostTarget();
+  void discardConnection();
   void classifyResponse(ResponseReader &reader, BufferedBody body);
   void releaseConnection(ResponseReader &reader);
   void fail(routing::ExchangeResult result, std::string reason);
@@ -97,6 +100,11 @@
   routing::EventStreamBuffer *Events;
   routing::EventBoundary Boundary;
   std::optional<TargetConnectionPool::Socket> Connection;
+  /// The target was last heard, at the latest.
+  Time HeardAt{};
+  Time SentAt{};
+  /// Given up, as the target did not acknowledge the request.
+  bool Unacknowledged = false;
   bool Sending = false;
   boost::system::error_code SendError;
   /// Expires when `Sending` ends.
@@ -104,6 +112,9 @@
   /// The connection has served an earlier request.
   bool IsReused = false;
   bool Aborted = false;
+  bool HeadReceived = false;
+  /// The final response is complete.
+  bool ResponseReceived = false;
   /// `transfer` has ended.
   bool Transferred = false;
   ExchangeOutcome Outcome;
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -68,6 +68,7 @@
   asio::awaitable<void> run();
   void endRequest(bool readsFirst) override;
   void closeIfIdle() override;
+  void checkTarget(Time now) override;
 
 private:
   using Parser = http::request_parser<http::string_body>;
@@ -208,6 +209,12 @@
   }
 }
 
+void Session::checkTarget(Time now) {
+  if (CurrentExchange != nullptr) {
+    CurrentExchange->checkAcknowledged(now);
+  }
+}
+
 void Session::watchCaller() {
   if (WatchingCaller) {
     return;
--- a/packages/gateway/src/target_connection_pool.cpp
+++ b/packages/gateway/src/target_connection_pool.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace nutmegsill::gateway {
@@ -37,6 +39,12 @@
   return waiting ? SocketState::Open : SocketState::Closed;
 }
 
+std::size_t unacknowledgedBytes(boost::asio::ip::tcp::socket &socket) {
+  int bytes = 0;
+  const bool known = ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0;
+  return known && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 void enableDeadPeerDetection(boost::asio::ip::tcp::socket &socket) {
   const int fd = socket.native_handle();
   setOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
@@ -47,7 +55,7 @@
   setOption(fd, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
 }
 
-std::optional<TargetConnectionPool::Socket>
+std::optional<TargetConnectionPool::IdleConnection>
 TargetConnectionPool::take(const Endpoint &target, Time now) {
   const auto it = IdleConnections.find(target);
   if (it == IdleConnections.end()) {
@@ -59,17 +67,17 @@
     idle.pop_back();
     if (last.ExpiresAt > now &&
         peekSocket(last.Connection) == SocketState::Open) {
-      return std::move(last.Connection);
+      return last;
     }
   }
   return std::nullopt;
 }
 
-void TargetConnectionPool::put(const Endpoint &target, Socket socket,
+void TargetConnectionPool::put(const Endpoint &target, Socket socket, Time now,
                                Time expiresAt, std::size_t maxIdle) {
   std::vector<IdleConnection> &idle = IdleConnections[target];
   if (idle.size() < maxIdle) {
-    idle.push_back(IdleConnection{std::move(socket), expiresAt});
+    idle.push_back(IdleConnection{std::move(socket), now, expiresAt});
   }
 }
 
--- a/packages/gateway/src/target_connection_pool.h
+++ b/packages/gateway/src/target_connection_pool.h
@@ -18,6 +18,9 @@
 /// Returns the state of a connection without consuming data.
 SocketState peekSocket(boost::asio::ip::tcp::socket &socket);
 
+/// Bytes that were sent and that the peer has not acknowledged.
+std::size_t unacknowledgedBytes(boost::asio::ip::tcp::socket &socket);
+
 /// Sets socket options that detect a silent peer, and disables Nagle's
 /// algorithm.
 void enableDeadPeerDetection(boost::asio::ip::tcp::socket &socket);
@@ -28,21 +31,23 @@
   using Endpoint = boost::asio::ip::tcp::endpoint;
   using Socket = boost::asio::ip::tcp::socket;
 
+  struct IdleConnection {
+    Socket Connection;
+    Time IdleSince{};
+    Time ExpiresAt{};
+  };
+
   /// Returns an idle connection that is open and on which no data has arrived
   /// since its last response, or `std::nullopt`.
-  std::optional<Socket> take(const Endpoint &target, Time now);
-  /// Keeps a connection until `expiresAt`; closes it at once when `maxIdle`
-  /// connections to `target` are kept already.
-  void put(const Endpoint &target, Socket socket, Time expiresAt,
+  std::optional<IdleConnection> take(const Endpoint &target, Time now);
+  /// Keeps a connection from `now` until `expiresAt`; closes it at once when
+  /// `maxIdle` connections to `target` are kept already.
+  void put(const Endpoint &target, Socket socket, Time now, Time expiresAt,
            std::size_t maxIdle);
   /// Closes connections that have expired.
   void closeExpired(Time now);
 
 private:
-  struct IdleConnection {
-    Socket Connection;
-    Time ExpiresAt{};
-  };
   std::map<Endpoint, std::vector<IdleConnection>> IdleConnections;
 };
 
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds ReadTime{100};
 /// Interval of the timers by which the event loop's lag is measured.
 constexpr milliseconds LagProbeInterval{50};
+/// Interval at which targets are checked for acknowledgements.
+constexpr milliseconds TargetCheckInterval{250};
 /// Shortest time between two log lines about paused listening.
 constexpr std::chrono::seconds OverloadLogInterval{1};
 /// Responses that are buffered at the same time: well under the memory of the
@@ -165,6 +167,10 @@
 }
 
 void TrafficServer::recordLag(Duration lag, Time now) {
+  if (now >= NextTargetCheckAt) {
+    NextTargetCheckAt = now + TargetCheckInterval;
+    Context.Callers.checkTargets(now);
+  }
   Listener.recordLag(lag, now);
   ListeningPauses += Listener.takePauses();
   const bool before = Context.Overload.isOverloaded();
--- a/packages/gateway/src/traffic_server.h
+++ b/packages/gateway/src/traffic_server.h
@@ -75,6 +75,7 @@
   /// Times that `Listener` refused connections since the last log line.
   std::size_t ListeningPauses = 0;
   Time NextOverloadLogAt{};
+  Time NextTargetCheckAt{};
   std::thread Thread;
 };
 
--- a/packages/gateway/test/gateway_lost_requests_test.cpp
+++ b/packages/gateway/test/gateway_lost_requests_test.cpp
@@ -2,6 +2,7 @@
 #include "gateway_fixture.h"
 #include "raw_target.h"
 
+#include <atomic>
 #include <boost/asio.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -201,6 +202,52 @@
   }
 }
 
+// Guards against a request that its target gets after it has been given up: the
+// system sends what it still holds when a cut has healed.
+TEST_CASE_METHOD(GatewayLostRequestsFixture,
+                 "gateway_request_that_is_given_up_resets_its_connection") {
+  std::atomic<int> resets{0};
+  useRawTarget(
+      [&resets](RawTargetConnection &connection) -> asio::awaitable<void> {
+        const bool reset = co_await connection.readToReset();
+        resets += reset ? 1 : 0;
+      });
+  startRouter();
+  const std::string path =
+      GENERATE("/buy/a", "/safe/a", "/stream/whole/a", "/stream/resumed/a");
+  CAPTURE(path);
+  CHECK(sendRequest(path, "id-1").Status == 504);
+  CHECK(waitUntil([&resets] { return resets == 1; }));
+  {
+    RawCaller leaving(Routers[0].CallerAddress);
+    leaving.write(postText("/safe/a", "id-2", 4));
+    std::this_thread::sleep_for(milliseconds(200));
+  }
+  CHECK(waitUntil([&resets] { return resets == 2; }));
+}
+
+// Guards against a reset that comes too late: a connection that the system has
+// given up can't be reset any more.
+TEST_CASE_METHOD(GatewayLostRequestsFixture,
+                 "gateway_unacknowledged_request_is_reset_before_timeout") {
+  constexpr int receiveBytes = 2'048;
+  RawTarget target(
+      freeLoopbackAddress(),
+      [](RawTargetConnection &connection) -> asio::awaitable<void> {
+        co_await connection.sleep(milliseconds(5'000));
+      },
+      receiveBytes);
+  writeTargetEntry(*FirstTarget, "ready", target.address());
+  Store->erase("servers/" + SecondTarget->id());
+  startRouter();
+  const auto begin = std::chrono::steady_clock::now();
+  CHECK(exchange(postText("/buy/a", "id-1", 60'000)).Status == 502);
+  const auto spent = std::chrono::steady_clock::now() - begin;
+  // The system gives the connection up after 3 s.
+  CHECK(spent > milliseconds(2'300));
+  CHECK(spent < milliseconds(2'950));
+}
+
 class GatewayFrozenFixture : protected GatewayLostRequestsFixture {
 protected:
   /// Sends a stream of 50 KB at once.
--- a/packages/standins/src/raw_target.cpp
+++ b/packages/standins/src/raw_target.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <array>
+
 namespace nutmegsill::standin {
 
 namespace asio = boost::asio;
@@ -33,14 +35,27 @@
   co_await timer.async_wait(asio::use_awaitable);
 }
 
+asio::awaitable<bool> RawTargetConnection::readToReset() {
+  std::array<char, 4'096> ignored{};
+  boost::system::error_code ec;
+  while (!ec) {
+    co_await Socket.async_read_some(
+        asio::buffer(ignored), asio::redirect_error(asio::use_awaitable, ec));
+  }
+  co_return ec == asio::error::connection_reset;
+}
+
 void RawTargetConnection::close() {
   boost::system::error_code ec;
   Socket.close(ec);
 }
 
-RawTarget::RawTarget(std::string address, Script script)
+RawTarget::RawTarget(std::string address, Script script, int receiveBytes)
     : Address(std::move(address)), RunScript(std::move(script)),
       Acceptor(Io, *parseEndpoint(Address)) {
+  if (receiveBytes > 0) {
+    Acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBytes));
+  }
   asio::co_spawn(Io, accept(), asio::detached);
   Thread = std::thread([this] { Io.run(); });
 }
--- a/packages/standins/src/raw_target.h
+++ b/packages/standins/src/raw_target.h
@@ -26,6 +26,8 @@
   std::string head(const std::string &status) const;
   boost::asio::awaitable<void> send(std::string bytes);
   boost::asio::awaitable<void> sleep(std::chrono::milliseconds duration);
+  /// Reads until the connection ends; returns whether it was reset.
+  boost::asio::awaitable<bool> readToReset();
   /// Closes the connection; the system resets it if bytes are unread.
   void close();
 
@@ -39,7 +41,9 @@
   using Script =
       std::function<boost::asio::awaitable<void>(RawTargetConnection &)>;
 
-  RawTarget(std::string address, Script script);
+  /// `receiveBytes` is the size of the system's receive buffers; 0 for its
+  /// default.
+  RawTarget(std::string address, Script script, int receiveBytes = 0);
   ~RawTarget();
 
   const std::string &address() const { return Address; }
