Require keys where the list of teams is empty

After the last team was taken out of the configuration, all routes were open: requests ran with the key that had been taken away, and with any other.

admit asked for a key only if the configuration held teams, so that an empty list was taken for none. The configuration now holds whether keys are required, which the presence of the list decides. A list of another type makes the configuration unreadable.

--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -112,6 +112,25 @@
   CHECK(sendRequest("/keyed/a", "id-3").Status == 401);
 }
 
+// Guards against an empty list of teams that opens all routes.
+TEST_CASE_METHOD(GatewayFixture,
+                 "gateway_configuration_with_no_team_left_closes_routes") {
+  startRouter();
+  CHECK(sendRequest("/keyed/a", "id-1").Status == 200);
+  std::string text = configText(8);
+  const std::string field = "\"tenants\":";
+  text.resize(text.find(field) + field.size());
+  writeConfig(text + "[]}");
+  CHECK(waitUntil([&] { return sendRequest("/keyed/a", "id-2").Status == 401; },
+                  std::chrono::seconds(2)));
+  CHECK(sendRequest("/safe/a", "id-3").Status == 200);
+  // A list of another type is unreadable.
+  text.replace(text.find("\"version\":8"), 11, "\"version\":9");
+  writeConfig(text + "null}");
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  CHECK(sendRequest("/keyed/a", "id-4").Status == 401);
+}
+
 TEST_CASE_METHOD(GatewayFixture, "gateway_draining_target_gets_no_request") {
   startRouter();
   writeTargetEntry(*FirstTarget, "draining");
--- a/packages/routing/include/nutmegsill/routing/model.h
+++ b/packages/routing/include/nutmegsill/routing/model.h
@@ -98,6 +98,9 @@
   ConfigRevision Revision;
   std::vector<RouteRule> Routes;
   std::map<PoolId, PoolRule> Pools;
+  /// Only public routes serve requests without a team's key; also true where no
+  /// team is left.
+  bool RequiresApiKeys = false;
   std::vector<TeamRule> Teams;
   CallerLimits Limits;
   /// Rated throughput of all engines together, in tokens per second. Each input
--- a/packages/routing/src/admission.cpp
+++ b/packages/routing/src/admission.cpp
@@ -46,7 +46,7 @@
   const Duration routeTimeout = out.Route->Timeout;
   out.TimeLimit =
       std::min(request.Timeout.value_or(routeTimeout), routeTimeout);
-  const bool requiresApiKey = !out.Route->Public && !out.Config->Teams.empty();
+  const bool requiresApiKey = !out.Route->Public && out.Config->RequiresApiKeys;
   if (requiresApiKey) {
     const Duration maxConfigAge = std::chrono::duration_cast<Duration>(
         policy.RevocationBound * policy.MaxConfigAgeFraction);
--- a/packages/routing/test/fleet_fixture.h
+++ b/packages/routing/test/fleet_fixture.h
@@ -42,6 +42,7 @@
     PoolRule desk;
     desk.Pool = PoolId{"desk"};
     out->Pools = {{engines.Pool, engines}, {desk.Pool, desk}};
+    out->RequiresApiKeys = true;
     out->Teams = {{TeamId{"small"}, {"key-small"}},
                   {TeamId{"large"}, {"key-large"}}};
     out->RatedTokensPerSecond = RatedTokens;
--- a/packages/simulation/src/fault_matrix.cpp
+++ b/packages/simulation/src/fault_matrix.cpp
@@ -238,6 +238,7 @@
   PoolRule desk;
   desk.Pool = PoolId{"desk"};
   config->Pools = {{engines.Pool, engines}, {desk.Pool, desk}};
+  config->RequiresApiKeys = true;
   config->Teams = {{TeamId{"small"}, {"key-small"}},
                    {TeamId{"large"}, {"key-large"}}};
   config->RatedTokensPerSecond = 80'000;
