End sessions whose caller takes no bytes

Connections stayed open for good, with their descriptors: where a caller had sent several requests at once and reset its connection, and where one did not read its response.

A response counted as finished before it had been written, so that the session went on with the next request it had read; and nothing bounded the time of a write. Now a response is finished once it is sent, and a write of which the caller takes no byte for the idle timeout ends the connection with a reset.

Tests: gateway_callers_that_do_not_read_are_ended (two routes) and gateway_callers_reset_after_several_requests_are_ended failed on the code before and pass.

--- a/packages/gateway/src/response_writer.cpp
+++ b/packages/gateway/src/response_writer.cpp
@@ -1,12 +1,14 @@
 #include "response_writer.h"
 
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/status.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
+#include <memory>
 
 namespace nutmegsill::gateway {
 
@@ -58,15 +60,46 @@
   Finished = false;
 }
 
+asio::awaitable<std::size_t>
+ResponseWriter::sendSome(std::span<const asio::const_buffer> parts,
+                         boost::system::error_code &ec) {
+  asio::steady_timer timer(CallerSocket.get_executor(), StallTimeout);
+  const std::shared_ptr<bool> waiting = std::make_shared<bool>(true);
+  timer.async_wait([this, waiting = std::weak_ptr<bool>(waiting)](
+                       boost::system::error_code timerError) {
+    if (!timerError && !waiting.expired()) {
+      boost::system::error_code ignored;
+      CallerSocket.cancel(ignored);
+    }
+  });
+  const std::size_t n = co_await CallerSocket.async_write_some(
+      parts, asio::redirect_error(asio::use_awaitable, ec));
+  co_return n;
+}
+
 asio::awaitable<bool> ResponseWriter::sendBytes(std::string_view head,
                                                 std::string_view body) {
-  const std::array<asio::const_buffer, 2> parts{
+  std::array<asio::const_buffer, 2> parts{
       asio::buffer(head.data(), head.size()),
       asio::buffer(body.data(), body.size())};
-  boost::system::error_code ec;
   Started = true;
-  co_await asio::async_write(CallerSocket, parts,
-                             asio::redirect_error(asio::use_awaitable, ec));
+  boost::system::error_code ec;
+  CallerSocket.non_blocking(true, ec);
+  std::size_t n = CallerSocket.write_some(parts, ec);
+  if (ec == asio::error::would_block) {
+    ec = {};
+  }
+  for (;;) {
+    for (asio::const_buffer &it : parts) {
+      const std::size_t taken = std::min(n, it.size());
+      it += taken;
+      n -= taken;
+    }
+    if (ec || asio::buffer_size(parts) == 0) {
+      break;
+    }
+    n = co_await sendSome(parts, ec);
+  }
   co_return !ec;
 }
 
@@ -79,11 +112,10 @@
         .append("\r\n");
   }
   head.append("\r\n");
-  Finished = true;
   const std::string_view body =
       HeaderOnly ? std::string_view() : std::string_view(response.Body);
-  const bool sent = co_await sendBytes(head, body);
-  co_return sent;
+  Finished = co_await sendBytes(head, body);
+  co_return Finished;
 }
 
 asio::awaitable<bool> ResponseWriter::beginChunked(unsigned status,
@@ -112,15 +144,15 @@
 }
 
 asio::awaitable<bool> ResponseWriter::finishChunked(std::string_view part) {
-  Finished = true;
   if (HeaderOnly) {
+    Finished = true;
     co_return true;
   }
   std::string text;
   appendChunk(text, part);
   text.append(LastChunk);
-  const bool sent = co_await sendBytes(text);
-  co_return sent;
+  Finished = co_await sendBytes(text);
+  co_return Finished;
 }
 
 } // namespace nutmegsill::gateway
--- a/packages/gateway/src/response_writer.h
+++ b/packages/gateway/src/response_writer.h
@@ -2,12 +2,14 @@
 #pragma once
 
 #include "buffer_budget.h"
+#include "nutmegsill/types.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/fields.hpp>
 
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -30,6 +32,9 @@
   explicit ResponseWriter(boost::asio::ip::tcp::socket &caller)
       : CallerSocket(caller) {}
 
+  /// Sets the time after which a caller that takes no byte counts as gone.
+  void setStallTimeout(Duration timeout) { StallTimeout = timeout; }
+
   /// Prepares for the next response on the connection. The response to a HEAD
   /// request has no body.
   void reset(bool keepAlive, bool isHead);
@@ -52,7 +57,13 @@
   boost::asio::awaitable<bool> sendBytes(std::string_view head,
                                          std::string_view body = {});
 
+  /// Waits until the caller takes some bytes; returns their number.
+  boost::asio::awaitable<std::size_t>
+  sendSome(std::span<const boost::asio::const_buffer> parts,
+           boost::system::error_code &ec);
+
   boost::asio::ip::tcp::socket &CallerSocket;
+  Duration StallTimeout = std::chrono::seconds(15);
   bool KeepAlive = true;
   /// Only the header of the response is sent.
   bool HeaderOnly = false;
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -253,6 +253,7 @@
       view ? view->Config->Limits : routing::CallerLimits();
   parser.header_limit(std::min(limits.MaxHeaderBytes, MaxCallerHeaderBytes));
   parser.body_limit(limits.MaxBodyBytes);
+  Writer.setStallTimeout(limits.IdleTimeout);
   boost::system::error_code ec;
   const auto token = [&ec] {
     return asio::redirect_error(asio::use_awaitable, ec);
--- a/packages/gateway/test/gateway_endless_test.cpp
+++ b/packages/gateway/test/gateway_endless_test.cpp
@@ -1,9 +1,11 @@
 // Targets and callers that send bytes without end.
 #include "buffer_budget.h"
 #include "gateway_fixture.h"
+#include "nutmegsill/http_client.h"
 #include "raw_target.h"
 
 #include <atomic>
+#include <boost/asio.hpp>
 #include <fstream>
 #include <thread>
 
@@ -301,6 +303,71 @@
   CHECK(peakMemory() < HostMemory);
 }
 
+class GatewayStuckCallersFixture : protected GatewayEndlessFixture {
+protected:
+  GatewayStuckCallersFixture() {
+    std::string text = configText(4);
+    const std::string field = "\"idle-timeout-ms\":15000";
+    text.replace(text.find(field), field.size(), "\"idle-timeout-ms\":1000");
+    writeConfig(text);
+  }
+  /// Whether the router serves no request and holds no connection of a caller.
+  bool allSessionsEnd() {
+    return waitUntil(
+        [this] {
+          return httpGet(Routers[0].MetricsAddress, "/metrics")
+                     .Body.find("nutmegsill_open_requests 0") !=
+                 std::string::npos;
+        },
+        std::chrono::seconds(8));
+  }
+};
+
+// Guards against sessions that wait for good for a caller that does not read.
+TEST_CASE_METHOD(GatewayStuckCallersFixture,
+                 "gateway_callers_that_do_not_read_are_ended") {
+  startRouter();
+  setTargetModes(TargetMode::EndlessEvents);
+  const std::string path = GENERATE("/stream/whole/a", "/stream/resumed/a");
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (int i = 0; i < 20; ++i) {
+    callers.push_back(
+        std::make_unique<RawCaller>(Routers.front().CallerAddress));
+    callers.back()->write("POST " + path +
+                          " HTTP/1.1\r\nHost: models.example\r\n"
+                          "Authorization: Bearer key-prints\r\n"
+                          "Tokens: 10,10\r\nRequest-Id: id-" +
+                          std::to_string(i) + "\r\nContent-Length: 0\r\n\r\n");
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  CAPTURE(path);
+  CHECK(allSessionsEnd());
+  CHECK(targetsAreLeft());
+}
+
+// Guards against sessions that go on with the next request after a failed
+// write.
+TEST_CASE_METHOD(GatewayStuckCallersFixture,
+                 "gateway_callers_reset_after_several_requests_are_ended") {
+  startRouter();
+  std::string text;
+  for (int i = 0; i < 6; ++i) {
+    text += "POST /keyed/a HTTP/1.1\r\nHost: models.example\r\n"
+            "Authorization: Bearer unknown\r\nRequest-Id: id-" +
+            std::to_string(i) + "\r\nContent-Length: 0\r\n\r\n";
+  }
+  asio::io_context io;
+  for (int i = 0; i < 100; ++i) {
+    asio::ip::tcp::socket caller(io);
+    caller.connect(*parseEndpoint(Routers.front().CallerAddress));
+    asio::write(caller, asio::buffer(text));
+    caller.set_option(asio::socket_base::linger(true, 0));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  CHECK(allSessionsEnd());
+  CHECK(sendRequest("/safe/a", "after").Status == 200);
+}
+
 TEST_CASE("buffer_budget_large_leases_leave_room_for_small_ones") {
   constexpr std::size_t maxBytes = 16U << 20U;
   constexpr std::size_t step = 4'096;
