--- a/packages/gateway/test/gateway_endless_test.cpp
+++ b/packages/gateway/test/gateway_endless_test.cpp
@@ -259,6 +259,7 @@
   Store->erase("servers/" + SecondTarget->id());
   startRouter();
   std::vector<std::thread> large;
+  large.reserve(callers);
   for (int i = 0; i < callers; ++i) {
     large.emplace_back([this, i] {
       CHECK(sendRequest("/safe/a", "large-" + std::to_string(i)).Status != 200);
