Hand connections of saturated small hosts over to larger ones

Cause: callers of a team may send everything through one small host whatever the directory lists; it pauses listening while the large hosts of its zone are nearly idle. Change: a saturated host relays the bytes of new connections to a larger host of its zone (routing/handover, gateway/connection_relay), which takes them at an address of its own (gateway.handover, handover_listener) or refuses them at once. Load reports carry spare capacity. A stream at the planned stop of the relaying host still ends early.

--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -23,12 +23,22 @@
 /// one at a time is accepted have left when their turn comes.
 constexpr int MaxAcceptsAtOnce = 64;
 
+/// While connections are relayed, more lag is usual: a small host pauses when
+/// its quota for a tenth of a second is used up. Relaying costs a fraction of
+/// serving, so that the limit rises faster.
+constexpr routing::ConnectionAdmissionPolicy RelayPolicy{
+    .CalmLag = milliseconds(60),
+    .MaxLag = milliseconds(120),
+    .LimitIncrease = 4,
+    .SevereLag = milliseconds(250)};
+
 } // namespace
 
 CallerListener::CallerListener(asio::io_context &io, tcp::endpoint endpoint,
                                ConnectionHandler onConnection)
     : Io(io), Endpoint(std::move(endpoint)),
-      OnConnection(std::move(onConnection)), Acceptor(io) {}
+      OnConnection(std::move(onConnection)), Acceptor(io),
+      RelayAdmission(RelayPolicy) {}
 
 boost::system::error_code CallerListener::listen() {
   boost::system::error_code ec;
@@ -59,16 +69,23 @@
 std::size_t CallerListener::takePauses() { return std::exchange(Pauses, 0); }
 
 void CallerListener::take(Socket socket, Time now) {
-  Admission.recordAdmission(now);
+  admission(now).recordAdmission(now);
   // A caller that has left costs no more than this.
-  if (peekSocket(socket) != SocketState::Closed) {
+  if (peekSocket(socket) == SocketState::Closed) {
+    return;
+  }
+  if (!Relay || !Relay(socket, now)) {
     OnConnection(std::move(socket));
   }
 }
 
+routing::ConnectionAdmission &CallerListener::admission(Time now) {
+  return IsRelaying && IsRelaying(now) ? RelayAdmission : Admission;
+}
+
 void CallerListener::acceptPending(Time now) {
   boost::system::error_code ec;
-  for (int i = 1; i < MaxAcceptsAtOnce && Admission.mayAdmit(now); ++i) {
+  for (int i = 1; i < MaxAcceptsAtOnce && admission(now).mayAdmit(now); ++i) {
     Socket next(Io);
     Acceptor.accept(next, ec);
     if (ec) {
@@ -95,17 +112,18 @@
     }
     take(std::move(first), now);
     acceptPending(now);
-    if (!Admission.mayAdmit(now)) {
+    if (!admission(now).mayAdmit(now)) {
       break;
     }
   }
   Accepting = false;
-  holdBack();
+  holdBack(bootTimeNow());
 }
 
-void CallerListener::holdBack() {
-  Admission.recordExhaustion();
-  if (Acceptor.is_open() && Admission.refuses()) {
+void CallerListener::holdBack(Time now) {
+  routing::ConnectionAdmission &bound = admission(now);
+  bound.recordExhaustion();
+  if (Acceptor.is_open() && bound.refuses()) {
     ++Pauses;
     boost::system::error_code ec;
     Acceptor.close(ec);
@@ -113,12 +131,12 @@
 }
 
 void CallerListener::recordLag(Duration lag, Time now) {
-  Admission.recordLag(lag);
+  admission(now).recordLag(lag);
   if (Accepting || Stopped) {
     return;
   }
-  if (!Admission.mayAdmit(now)) {
-    holdBack();
+  if (!admission(now).mayAdmit(now)) {
+    holdBack(now);
     return;
   }
   if (!Acceptor.is_open()) {
--- a/packages/gateway/src/caller_listener.h
+++ b/packages/gateway/src/caller_listener.h
@@ -26,6 +26,13 @@
                  boost::asio::ip::tcp::endpoint endpoint,
                  ConnectionHandler onConnection);
 
+  /// Offers each connection to `relay` first while `isRelaying`, and then takes
+  /// as many as the lag of relaying allows.
+  void setRelay(std::function<bool(Time)> isRelaying,
+                std::function<bool(Socket &, Time)> relay) {
+    IsRelaying = std::move(isRelaying);
+    Relay = std::move(relay);
+  }
   /// Opens the socket; returns why it failed, or nothing.
   std::optional<std::string> start();
   /// Takes connections that are waiting, as admission allows, and closes the
@@ -43,14 +50,19 @@
   void acceptPending(Time now);
   void take(Socket socket, Time now);
   /// Leaves connections waiting until the next probe, or refuses them.
-  void holdBack();
+  void holdBack(Time now);
+  /// The bound of connections that are served, or of those that are relayed.
+  routing::ConnectionAdmission &admission(Time now);
   boost::system::error_code listen();
 
   boost::asio::io_context &Io;
   boost::asio::ip::tcp::endpoint Endpoint;
   ConnectionHandler OnConnection;
   boost::asio::ip::tcp::acceptor Acceptor;
+  std::function<bool(Time)> IsRelaying;
+  std::function<bool(Socket &, Time)> Relay;
   routing::ConnectionAdmission Admission{{}};
+  routing::ConnectionAdmission RelayAdmission;
   /// `accept` is running.
   bool Accepting = false;
   bool Stopped = false;
--- /dev/null
+++ b/packages/gateway/src/connection_relay.h
@@ -0,0 +1,69 @@
+/// Relays callers' connections to larger hosts without parsing them.
+#pragma once
+
+#include "metrics.h"
+#include "nutmegsill/routing/handover.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace nutmegsill::gateway {
+
+/// The byte with which a host takes a connection over. Nothing of the caller is
+/// sent before it, so that a host that refuses has run nothing.
+constexpr char TakenOver = 'T';
+
+/// The connections that this host relays. For the traffic thread only.
+class ConnectionRelays {
+public:
+  using Socket = boost::asio::ip::tcp::socket;
+  using ServeHandler = std::function<void(Socket)>;
+
+  /// Calls `serveHere` with a connection that a peer refused.
+  ConnectionRelays(boost::asio::io_context &io, routing::Handover &handover,
+                   Metrics &metrics, std::size_t maxRelays,
+                   ServeHandler serveHere);
+  ~ConnectionRelays();
+
+  /// Whether new connections are relayed at present.
+  bool isRelaying(Time now);
+  /// Hands a connection over if this host should; `caller` is unchanged if not.
+  bool take(Socket &caller, Time now);
+  /// Time after which a connection is ended whose caller takes no bytes.
+  void setStallTimeout(Duration timeout) { StallTimeout = timeout; }
+  /// Tells the peers that no further request follows.
+  void endSending();
+  /// Resets all connections.
+  void reset();
+  std::size_t size() const { return Relays.size(); }
+
+private:
+  class Relay;
+
+  void runTick();
+  void flushCounters();
+
+  boost::asio::io_context &Io;
+  routing::Handover &Handover;
+  Metrics &Counters;
+  const std::size_t MaxRelays;
+  ServeHandler ServeHere;
+  boost::asio::steady_timer Tick;
+  bool Ticking = false;
+  /// Time of the last tick or connection: reading the clock costs a system call
+  /// on some hosts.
+  Time Now{};
+  Duration StallTimeout;
+  std::set<std::shared_ptr<Relay>> Relays;
+  std::size_t NewRelays = 0;
+  std::size_t NewBytes = 0;
+  Time NextFlushAt{};
+};
+
+} // namespace nutmegsill::gateway
--- a/packages/gateway/src/control_server.cpp
+++ b/packages/gateway/src/control_server.cpp
@@ -66,6 +66,9 @@
   out.PeerAddress = Settings.PeerAddress;
   out.Incarnation = OwnIncarnation;
   out.ProcessorShare = Settings.ProcessorShare;
+  if (Settings.HandoverEndpoint) {
+    out.HandoverAddress = formatEndpoint(*Settings.HandoverEndpoint);
+  }
   return out;
 }
 
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -85,6 +85,11 @@
     entry->set_sent(it.Sent);
     entry->set_leaving(it.Leaving);
   }
+  for (const routing::SpareCapacity &it : report.Spare) {
+    wire::SpareCapacity *entry = out.add_spare();
+    entry->set_router(it.Router.Text);
+    entry->set_requests_per_s(static_cast<float>(it.RequestsPerSecond));
+  }
 }
 
 void encode(const routing::RelayedChanges &changes,
@@ -207,6 +212,12 @@
          it.sent(),
          it.leaving()});
   }
+  for (const wire::SpareCapacity &it : in.spare()) {
+    if (!isRate(it.requests_per_s())) {
+      return std::nullopt;
+    }
+    report.Spare.push_back({HostId{it.router()}, it.requests_per_s()});
+  }
   return report;
 }
 
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -61,9 +61,10 @@
 
 class Session : public CallerConnection {
 public:
-  Session(SessionContext &context, tcp::socket caller)
-      : Context(context), CallerSocket(std::move(caller)),
-        Timer(CallerSocket.get_executor()), Writer(CallerSocket) {}
+  Session(SessionContext &context, tcp::socket caller, bool handedOver)
+      : Context(context), HandedOver(handedOver),
+        CallerSocket(std::move(caller)), Timer(CallerSocket.get_executor()),
+        Writer(CallerSocket) {}
 
   asio::awaitable<void> run();
   void endRequest(bool readsFirst) override;
@@ -122,9 +123,15 @@
   /// Whether bytes that the session waits for have arrived.
   bool hasUnreadBytes();
   void watchCaller();
+  /// Whether the caller has left, so that its request is to be cancelled.
+  bool callerHasLeft(SocketState state);
   void cancel(CancelCause cause);
 
   SessionContext &Context;
+  /// Another host relays the connection.
+  const bool HandedOver;
+  /// When the request ends at the latest, since that host stops.
+  std::optional<Time> RelayEndsAt;
   tcp::socket CallerSocket;
   asio::steady_timer Timer;
   ResponseWriter Writer;
@@ -212,6 +219,9 @@
 void Session::checkTarget(Time now) {
   if (CurrentExchange != nullptr) {
     CurrentExchange->checkAcknowledged(now);
+    if (RelayEndsAt && now >= *RelayEndsAt) {
+      cancel(CancelCause::TimeLimit);
+    }
   }
 }
 
@@ -220,7 +230,8 @@
     return;
   }
   WatchingCaller = true;
-  CallerSocket.async_wait(tcp::socket::wait_read,
+  CallerSocket.async_wait(RelayEndsAt ? tcp::socket::wait_error
+                                      : tcp::socket::wait_read,
                           [this, lifetime = std::weak_ptr<bool>(LifetimeToken)](
                               boost::system::error_code ec) {
                             if (lifetime.expired()) {
@@ -236,14 +247,25 @@
                               return;
                             }
                             const SocketState state = peekSocket(CallerSocket);
-                            if (state == SocketState::Closed) {
+                            if (callerHasLeft(state)) {
                               cancel(CancelCause::CallerDisconnected);
-                            } else if (state == SocketState::Open) {
+                            } else if (state != SocketState::HasData) {
                               watchCaller();
                             }
                           });
 }
 
+bool Session::callerHasLeft(SocketState state) {
+  if (state != SocketState::Closed || !HandedOver || isReset(CallerSocket)) {
+    return state == SocketState::Closed;
+  }
+  if (!RelayEndsAt) {
+    RelayEndsAt =
+        routing::relayEnd(bootTimeNow(), Context.Settings.Bounds.StopGrace);
+  }
+  return false;
+}
+
 /// Reads one request; responds with an error to a malformed one. Returns false
 /// when there is no request to serve.
 asio::awaitable<bool> Session::readRequest(Parser &parser) {
@@ -424,6 +446,10 @@
 asio::awaitable<void> Session::serveRequest(Request &request) {
   request.Head = platform::parseRequestHead(request.Message.base());
   const std::optional<LocalResponse> localResponse = admitRequest(request);
+  Context.Handover.recordRequest(request.Admitted
+                                     ? request.Admitted->Route->Semantics
+                                     : routing::ExecutionSemantics::Idempotent,
+                                 request.ArrivedAt);
   if (localResponse) {
     co_await sendLocalResponse(request, *localResponse);
     co_return;
@@ -443,7 +469,7 @@
   ExchangeOutcome outcome;
   for (;;) {
     // The caller may have disconnected while this router was stalled.
-    if (peekSocket(CallerSocket) == SocketState::Closed) {
+    if (callerHasLeft(peekSocket(CallerSocket))) {
       outcome.CallerDisconnected = true;
       break;
     }
@@ -724,8 +750,10 @@
 
 } // namespace
 
-asio::awaitable<void> serveCaller(SessionContext &context, tcp::socket caller) {
-  Session session(context, std::move(caller));
+asio::awaitable<void> serveCaller(SessionContext &context, tcp::socket caller,
+                                  bool handedOver) {
+  context.Handover.recordConnection(bootTimeNow());
+  Session session(context, std::move(caller), handedOver);
   co_await session.run();
 }
 
--- a/packages/gateway/src/settings.cpp
+++ b/packages/gateway/src/settings.cpp
@@ -25,6 +25,7 @@
   }
 
   bool isPresent() const { return Object != nullptr; }
+  bool has(const char *member) const { return find(member) != nullptr; }
 
   std::string readText(const char *member) {
     const json *it = find(member);
@@ -126,6 +127,9 @@
   out.DirectoryEndpoint = gateway.readEndpoint("directory");
   out.PeerAddress = gateway.readAddress("peer");
   out.MetricsAddress = gateway.readAddress("metrics");
+  if (gateway.has("handover")) {
+    out.HandoverEndpoint = gateway.readEndpoint("handover");
+  }
   out.MaxDescriptors = static_cast<std::size_t>(gateway.readNumber(
       "descriptors", static_cast<double>(out.MaxDescriptors)));
   out.ProcessorShare = gateway.readNumber("processor_quota", 1) *
--- a/packages/gateway/src/settings.h
+++ b/packages/gateway/src/settings.h
@@ -32,6 +32,9 @@
   /// Addresses to bind, in the form "IP:port".
   std::string PeerAddress;
   std::string MetricsAddress;
+  /// Address for connections that smaller hosts hand over; without it the
+  /// router neither takes connections over nor hands them over.
+  std::optional<Endpoint> HandoverEndpoint;
   Endpoint StoreEndpoint;
   /// Shortest TTL of a lease that the store grants.
   milliseconds MinLeaseTtl{1'000};
--- a/packages/gateway/src/target_connection_pool.cpp
+++ b/packages/gateway/src/target_connection_pool.cpp
@@ -39,6 +39,11 @@
   return waiting ? SocketState::Open : SocketState::Closed;
 }
 
+bool isReset(boost::asio::ip::tcp::socket &socket) {
+  char byte = 0;
+  return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+}
+
 std::size_t unacknowledgedBytes(boost::asio::ip::tcp::socket &socket) {
   int bytes = 0;
   const bool known = ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0;
@@ -46,7 +51,10 @@
 }
 
 void enableDeadPeerDetection(boost::asio::ip::tcp::socket &socket) {
-  const int fd = socket.native_handle();
+  enableDeadPeerDetection(socket.native_handle());
+}
+
+void enableDeadPeerDetection(int fd) {
   setOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
   setOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, TcpUserTimeoutMs);
   setOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
--- a/packages/gateway/src/target_connection_pool.h
+++ b/packages/gateway/src/target_connection_pool.h
@@ -18,12 +18,19 @@
 /// Returns the state of a connection without consuming data.
 SocketState peekSocket(boost::asio::ip::tcp::socket &socket);
 
+/// Whether a connection whose state is `Closed` was reset or lost; false after
+/// an orderly end.
+bool isReset(boost::asio::ip::tcp::socket &socket);
+
 /// Bytes that were sent and that the peer has not acknowledged.
 std::size_t unacknowledgedBytes(boost::asio::ip::tcp::socket &socket);
 
 /// Sets socket options that detect a silent peer, and disables Nagle's
 /// algorithm.
 void enableDeadPeerDetection(boost::asio::ip::tcp::socket &socket);
+/// The same for a listening socket's descriptor: accepted connections inherit
+/// the options.
+void enableDeadPeerDetection(int fd);
 
 /// Not thread-safe.
 class TargetConnectionPool {
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr milliseconds StopCheckInterval{20};
+/// Relays take two descriptors each; as many as half of the descriptors allow.
+constexpr std::size_t RelayDescriptorFraction = 4;
 /// Time for the first request on a connection that was just accepted when the
 /// listening socket is closed.
 constexpr milliseconds FirstRequestDelay{100};
@@ -41,6 +43,9 @@
   if (newest && newest != View) {
     View = std::move(newest);
     Dispatcher.setView(View, now);
+    if (Settings.HandoverEndpoint) {
+      Handover.setView(*View);
+    }
   }
   return View;
 }
@@ -65,10 +70,16 @@
               BufferBudget(MaxBufferedResponseBytes),
               CallerConnections(settings.MaxDescriptors),
               routing::HostOverload({}),
+              routing::Handover(settings.Host, settings.ProcessorShare, {}),
               {},
               0,
               nullptr},
       Control(control),
+      Relays(Io, Context.Handover, metrics,
+             settings.MaxDescriptors / RelayDescriptorFraction,
+             [this](CallerListener::Socket caller) {
+               spawn(Io, serveCaller(Context, std::move(caller)));
+             }),
       Listener(Io, settings.CallerEndpoint,
                [this](CallerListener::Socket caller) {
                  spawn(Io, serveCaller(Context, std::move(caller)));
@@ -85,12 +96,19 @@
     reason = "cannot listen for callers: " + *failure;
     return nullptr;
   }
+  const std::optional<std::string> handoverFailure = server->startHandover();
+  if (handoverFailure) {
+    reason =
+        "cannot listen for connections of other hosts: " + *handoverFailure;
+    return nullptr;
+  }
   TrafficServer *self = server.get();
   control.setLoadReportHandler([self](const HostId &peer,
                                       routing::LoadReport report) {
     asio::post(self->Io, [self, peer, report = std::move(report)]() mutable {
       const Time now = bootTimeNow();
       if (self->Context.refreshView(now)) {
+        self->Context.Handover.receiveSpare(report.Spare, now);
         self->Context.Dispatcher.receiveReport(peer, std::move(report), now);
       }
     });
@@ -143,6 +161,17 @@
       Context.Counters.countFleetChange(it.Event);
       logLine("belief", it.Event, it.Fields);
     }
+    for (const routing::FleetChange &it : Context.Handover.takeChanges()) {
+      Context.Counters.countFleetChange(it.Event);
+      logLine("callers", it.Event, it.Fields);
+    }
+    const std::optional<routing::SpareCapacity> spare =
+        Context.Settings.HandoverEndpoint ? Context.Handover.ownSpare(now)
+                                          : std::nullopt;
+    if (spare) {
+      reports.OwnReport.Spare.push_back(*spare);
+      reports.GroupReport.Spare.push_back(*spare);
+    }
     if (Context.Overload.isOverloaded()) {
       reports.OwnReport.OverloadedHosts.push_back(Context.Settings.Host);
       reports.GroupReport.OverloadedHosts.push_back(Context.Settings.Host);
@@ -166,11 +195,34 @@
   }
 }
 
+std::optional<std::string> TrafficServer::startHandover() {
+  if (!Context.Settings.HandoverEndpoint) {
+    return std::nullopt;
+  }
+  Listener.setRelay([this](Time now) { return Relays.isRelaying(now); },
+                    [this](CallerListener::Socket &caller, Time now) {
+                      return Relays.take(caller, now);
+                    });
+  TakenOver.emplace(
+      Io, *Context.Settings.HandoverEndpoint,
+      [this](Time now) {
+        const bool taken =
+            !Context.stopSchedule() && Context.Handover.mayTakeOver(now);
+        Context.Counters.countOfferedConnection(taken ? "taken" : "refused");
+        return taken;
+      },
+      [this](CallerListener::Socket relayed) {
+        spawn(Io, serveCaller(Context, std::move(relayed), true));
+      });
+  return TakenOver->start();
+}
+
 void TrafficServer::recordLag(Duration lag, Time now) {
   if (now >= NextTargetCheckAt) {
     NextTargetCheckAt = now + TargetCheckInterval;
     Context.Callers.checkTargets(now);
   }
+  Context.Handover.recordLag(lag, now);
   Listener.recordLag(lag, now);
   ListeningPauses += Listener.takePauses();
   const bool before = Context.Overload.isOverloaded();
@@ -201,9 +253,14 @@
   co_await sleepFor(Io, schedule.admissionEnd() - bootTimeNow());
   // Callers whose connection is refused try another router at once.
   Listener.stop();
+  if (TakenOver) {
+    TakenOver->stop();
+  }
   co_await sleepFor(Io, FirstRequestDelay);
+  Relays.endSending();
   std::optional<Time> endedAt;
-  while (Context.Callers.size() > 0 && bootTimeNow() < schedule.processEnd()) {
+  while (Context.Callers.size() + Relays.size() > 0 &&
+         bootTimeNow() < schedule.processEnd()) {
     Context.Callers.closeIdle();
     const Time now = bootTimeNow();
     if (!endedAt && now >= schedule.requestEnd()) {
@@ -216,11 +273,13 @@
     }
     co_await sleepFor(Io, StopCheckInterval);
   }
-  if (Context.Callers.size() > 0) {
+  if (Context.Callers.size() + Relays.size() > 0) {
     logLine("process", "connections_cut",
             {{"open", std::to_string(Context.Callers.size())},
+             {"relayed", std::to_string(Relays.size())},
              {"requests", std::to_string(Context.RequestsInFlight)}});
   }
+  Relays.reset();
   onStopped();
 }
 
--- a/packages/gateway/src/traffic_server.h
+++ b/packages/gateway/src/traffic_server.h
@@ -5,9 +5,12 @@
 #include "buffer_budget.h"
 #include "caller_connections.h"
 #include "caller_listener.h"
+#include "connection_relay.h"
 #include "control_server.h"
+#include "handover_listener.h"
 #include "metrics.h"
 #include "nutmegsill/routing/dispatcher.h"
+#include "nutmegsill/routing/handover.h"
 #include "nutmegsill/routing/host_overload.h"
 #include "nutmegsill/routing/stop_schedule.h"
 #include "settings.h"
@@ -35,6 +38,7 @@
   BufferBudget ResponseBuffers;
   CallerConnections Callers;
   routing::HostOverload Overload;
+  routing::Handover Handover;
   routing::RouteDurations Durations;
   std::size_t RequestsInFlight = 0;
   std::shared_ptr<const routing::FleetView> View;
@@ -63,6 +67,8 @@
   TrafficServer(const GatewaySettings &settings, SharedState &shared,
                 Metrics &metrics, ControlServer &control);
   boost::asio::awaitable<void> reportLoad();
+  /// Opens the address for hand-over, if it is set; returns why it failed.
+  std::optional<std::string> startHandover();
   void recordLag(Duration lag, Time now);
   boost::asio::awaitable<void> runStop(routing::StopSchedule schedule,
                                        std::function<void()> onStopped);
@@ -71,7 +77,10 @@
   boost::asio::io_context Io{1};
   SessionContext Context;
   ControlServer &Control;
+  ConnectionRelays Relays;
   CallerListener Listener;
+  /// Set if this host takes connections over.
+  std::optional<HandoverListener> TakenOver;
   /// Times that `Listener` refused connections since the last log line.
   std::size_t ListeningPauses = 0;
   Time NextOverloadLogAt{};
--- a/packages/process/src/metrics.cpp
+++ b/packages/process/src/metrics.cpp
@@ -54,6 +54,17 @@
                             "Times that callers' connections were refused "
                             "for lack of processor time")
                 .Add({})),
+        RelayedConnections(
+            registerCounter(*Registry, "nutmegsill_relayed_connections_total",
+                            "Callers' connections relayed to another host")
+                .Add({})),
+        RelayedBytes(registerCounter(*Registry,
+                                     "nutmegsill_relayed_bytes_total",
+                                     "Bytes of relayed connections")
+                         .Add({})),
+        OfferedConnections(registerCounter(
+            *Registry, "nutmegsill_offered_connections_total",
+            "Connections that other hosts offered to hand over")),
         RequestLatency(prometheus::BuildHistogram()
                            .Name("nutmegsill_request_seconds")
                            .Help("Time to the end of callers' requests")
@@ -87,6 +98,9 @@
   Family<Counter> &Requests;
   Family<Counter> &FleetChanges;
   Counter &ListeningPauses;
+  Counter &RelayedConnections;
+  Counter &RelayedBytes;
+  Family<Counter> &OfferedConnections;
   Family<Histogram> &RequestLatency;
   Family<Histogram> &FirstPartLatency;
   Family<Gauge> &StateAges;
@@ -160,4 +174,13 @@
   Impl->ListeningPauses.Increment(static_cast<double>(count));
 }
 
+void Metrics::countRelayed(std::size_t connections, std::size_t bytes) {
+  Impl->RelayedConnections.Increment(static_cast<double>(connections));
+  Impl->RelayedBytes.Increment(static_cast<double>(bytes));
+}
+
+void Metrics::countOfferedConnection(const std::string &result) {
+  Impl->OfferedConnections.Add({{"result", result}}).Increment();
+}
+
 } // namespace nutmegsill
--- a/packages/process/src/metrics.h
+++ b/packages/process/src/metrics.h
@@ -36,6 +36,12 @@
   /// Counts the times that callers' connections were refused until the next
   /// probe for lack of processor time.
   void countListeningPauses(std::size_t count);
+  /// Counts connections, and bytes in both directions, that were relayed to
+  /// another host.
+  void countRelayed(std::size_t connections, std::size_t bytes);
+  /// Counts a connection that another host offered; `result` is "taken" or
+  /// "refused".
+  void countOfferedConnection(const std::string &result);
 
 private:
   struct Implementation;
--- a/packages/routing/include/nutmegsill/routing/load_report.h
+++ b/packages/routing/include/nutmegsill/routing/load_report.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "nutmegsill/routing/crash_quarantine.h"
+#include "nutmegsill/routing/handover.h"
 #include "nutmegsill/routing/target_statements.h"
 #include "nutmegsill/routing/team_share.h"
 #include "nutmegsill/types.h"
@@ -58,6 +59,8 @@
   std::vector<HostId> OverloadedHosts;
   QuarantineReport Quarantine;
   std::vector<StatementReport> Statements;
+  /// Of the routers in the sum that take connections over.
+  std::vector<SpareCapacity> Spare;
 
   /// Whether there is nothing to tell of targets, teams, crashes and limits.
   bool isEmpty() const {
--- a/packages/routing/include/nutmegsill/routing/model.h
+++ b/packages/routing/include/nutmegsill/routing/model.h
@@ -150,6 +150,9 @@
   IncarnationId Incarnation;
   /// Processor time of the router, relative to the other routers.
   double ProcessorShare = 1;
+  /// Address for connections that smaller hosts hand over; empty if the router
+  /// takes none.
+  std::string HandoverAddress = {};
   bool operator==(const RouterEntry &) const = default;
 };
 
--- a/packages/routing/src/peer_loads.cpp
+++ b/packages/routing/src/peer_loads.cpp
@@ -93,6 +93,8 @@
       own.OverloadedHosts.insert(own.OverloadedHosts.end(),
                                  it->second.Report.OverloadedHosts.begin(),
                                  it->second.Report.OverloadedHosts.end());
+      own.Spare.insert(own.Spare.end(), it->second.Report.Spare.begin(),
+                       it->second.Report.Spare.end());
     }
   }
   own.Targets.clear();
--- a/packages/standins/src/local_fleet.cpp
+++ b/packages/standins/src/local_fleet.cpp
@@ -90,7 +90,7 @@
   addresses.ReadinessAddress = freeLoopbackAddress();
   addresses.DirectoryAddress = freeLoopbackAddress();
   addresses.MetricsAddress = freeLoopbackAddress();
-  const json settings{
+  json settings{
       {"gateway",
        {{"host", addresses.Host},
         {"zone", "zone-a"},
@@ -99,7 +99,8 @@
         {"directory", addresses.DirectoryAddress},
         {"peer", freeLoopbackAddress()},
         {"metrics", addresses.MetricsAddress},
-        {"descriptors", MaxDescriptors}}},
+        {"descriptors", MaxDescriptors},
+        {"processor_quota", ProcessorQuota}}},
       {"store", {{"address", StoreAddress}, {"shortest_lease_ms", 1000}}},
       {"bounds",
        {{"revocation_ms", RevocationBoundMs},
@@ -107,6 +108,9 @@
         {"retry_ratio", 0.2},
         {"retry_window_s", 10},
         {"retry_extra", 50}}}};
+  if (HasHandover) {
+    settings["gateway"]["handover"] = freeLoopbackAddress();
+  }
   const std::string path = TempDir + "/" + addresses.Host + ".json";
   std::ofstream(path) << settings.dump();
   RouterProcesses.push_back(launchRouter(addresses.Host));
--- a/packages/standins/src/local_fleet.h
+++ b/packages/standins/src/local_fleet.h
@@ -85,6 +85,11 @@
   int StopGraceS = 6;
   /// Limit of file descriptors in the settings of routers added from now on.
   int MaxDescriptors = 1024;
+  /// Processor quota in the settings of routers added from now on, in cores.
+  double ProcessorQuota = 1;
+  /// Whether routers added from now on take connections over and hand them
+  /// over.
+  bool HasHandover = false;
 };
 
 } // namespace nutmegsill::standin
