--- a/packages/gateway/src/connection_relay.cpp
+++ b/packages/gateway/src/connection_relay.cpp
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 namespace nutmegsill::gateway {
@@ -20,7 +21,12 @@
 
 /// Interval at which the later bytes of responses are collected: well under the
 /// shortest bound for forwarding events, 120 ms.
-constexpr milliseconds TickInterval{30};
+constexpr milliseconds TickInterval{40};
+/// Pieces of one response from which it is a stream: the peer's socket is then
+/// read at the ticks only, and its events wake no one.
+constexpr int MinStreamPieces = 2;
+/// Ticks without a piece after which the socket is waited for again.
+constexpr int MaxQuietTicks = 5;
 /// Time for a peer to take a connection over: the shortest objective is 150 ms.
 constexpr milliseconds TakeOverTimeout{150};
 /// Age from which a dead peer is detected by probes. Setting them takes six
@@ -65,6 +71,7 @@
       : Owner(owner), Host(std::move(host)), StartedAt(now),
         Caller(std::move(caller)), Peer(owner.Io), Request(RequestBufferBytes),
         Response(ResponseBufferBytes) {}
+  ~Relay();
 
   bool connect(const Endpoint &address);
   Socket takeCaller() { return std::move(Caller); }
@@ -89,6 +96,10 @@
   void readPeer();
   void onCallerBytes(boost::system::error_code ec, std::size_t n);
   void onPeerBytes(boost::system::error_code ec, std::size_t n);
+  /// Takes the peer's socket out of the event loop, and back.
+  void startPolling();
+  void stopPolling();
+  void pollPeer();
   void onTakeOver(boost::system::error_code ec, std::size_t n);
   void onPeerEnd(boost::system::error_code ec);
   void flushRequest();
@@ -103,10 +114,16 @@
   const Time StartedAt;
   Socket Caller;
   Socket Peer;
+  tcp PeerProtocol = tcp::v4();
   Buffer Request;
   Buffer Response;
   Phase State = Phase::Connecting;
   bool ReadingPeer = false;
+  /// The peer's socket while it is polled, otherwise -1.
+  int PolledPeer = -1;
+  int QuietTicks = 0;
+  /// Pieces of the response since the last bytes of the caller.
+  int Pieces = 0;
   /// Bytes of the caller since the last ones towards it.
   std::size_t RequestBytes = 0;
   bool DetectsDeadPeer = false;
@@ -116,6 +133,12 @@
   Time DrainUntil{};
 };
 
+ConnectionRelays::Relay::~Relay() {
+  if (PolledPeer >= 0) {
+    ::close(PolledPeer);
+  }
+}
+
 bool ConnectionRelays::Relay::connect(const Endpoint &address) {
   const int fd = ::socket(address.protocol().family(),
                           SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -127,8 +150,9 @@
   const bool started = ::connect(fd, address.data(),
                                  static_cast<socklen_t>(address.size())) == 0 ||
                        errno == EINPROGRESS;
+  PeerProtocol = address.protocol();
   boost::system::error_code ec;
-  Peer.assign(address.protocol(), fd, ec);
+  Peer.assign(PeerProtocol, fd, ec);
   if (ec) {
     ::close(fd);
   }
@@ -151,6 +175,7 @@
   if (ReadingPeer) {
     return;
   }
+  stopPolling();
   ReadingPeer = true;
   Peer.async_read_some(
       asio::buffer(Response.Bytes),
@@ -167,6 +192,7 @@
   if (ec) {
     // The caller has left: the peer cancels its request.
     if (State == Phase::Relaying) {
+      stopPolling();
       resetConnection(Peer);
     }
     finish();
@@ -181,6 +207,8 @@
   }
   RequestBytes += n;
   Owner.NewBytes += n;
+  Pieces = 0;
+  stopPolling();
   Request.Begin = 0;
   Request.End = n;
   flushRequest();
@@ -258,9 +286,53 @@
   Owner.Handover.recordRelayedPiece(Owner.Now);
   Owner.NewBytes += n;
   RequestBytes = 0;
+  ++Pieces;
   Response.Begin = 0;
   Response.End = n;
   flushResponse();
+  if (Pieces >= MinStreamPieces) {
+    startPolling();
+  }
+}
+
+void ConnectionRelays::Relay::startPolling() {
+  if (State != Phase::Relaying || PolledPeer >= 0 || ReadingPeer ||
+      !Request.isEmpty() || !Response.isEmpty()) {
+    return;
+  }
+  boost::system::error_code ec;
+  const int fd = Peer.release(ec);
+  if (!ec) {
+    PolledPeer = fd;
+    QuietTicks = 0;
+  }
+}
+
+void ConnectionRelays::Relay::stopPolling() {
+  if (PolledPeer < 0) {
+    return;
+  }
+  boost::system::error_code ec;
+  Peer.assign(PeerProtocol, PolledPeer, ec);
+  if (ec) {
+    ::close(PolledPeer);
+  }
+  PolledPeer = -1;
+}
+
+void ConnectionRelays::Relay::pollPeer() {
+  const ssize_t n = ::recv(PolledPeer, Response.Bytes.data(),
+                           Response.Bytes.size(), MSG_DONTWAIT);
+  if (n > 0) {
+    QuietTicks = 0;
+    onPeerBytes({}, static_cast<std::size_t>(n));
+  } else if (n == 0) {
+    onPeerEnd(asio::error::eof);
+  } else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+    onPeerEnd(asio::error::connection_reset);
+  } else if (++QuietTicks > MaxQuietTicks) {
+    readPeer();
+  }
 }
 
 void ConnectionRelays::Relay::flushResponse() {
@@ -270,6 +342,7 @@
   const std::optional<std::size_t> sent = sendNow(
       Caller, &Response.Bytes[Response.Begin], Response.End - Response.Begin);
   if (!sent) {
+    stopPolling();
     resetConnection(Peer);
     finish();
     return;
@@ -314,9 +387,12 @@
   case Phase::Relaying:
     if (!DetectsDeadPeer && now - StartedAt > DetectionDelay) {
       DetectsDeadPeer = true;
-      enableDeadPeerDetection(Peer);
+      enableDeadPeerDetection(PolledPeer >= 0 ? PolledPeer
+                                              : Peer.native_handle());
     }
-    if (Response.isEmpty()) {
+    if (PolledPeer >= 0 && Response.isEmpty()) {
+      pollPeer();
+    } else if (Response.isEmpty()) {
       readPeer();
     } else if (now - Response.BlockedSince > Owner.StallTimeout) {
       reset();
@@ -336,6 +412,7 @@
   SendingEnds = true;
   if (State == Phase::Relaying && Request.isEmpty() && !SendingEnded) {
     SendingEnded = true;
+    stopPolling();
     boost::system::error_code ec;
     Peer.shutdown(tcp::socket::shutdown_send, ec);
   }
@@ -350,6 +427,7 @@
 }
 
 void ConnectionRelays::Relay::reset() {
+  stopPolling();
   if (Peer.is_open()) {
     resetConnection(Peer);
   }
@@ -360,7 +438,11 @@
 void ConnectionRelays::Relay::finish() {
   State = Phase::Closed;
   boost::system::error_code ec;
-  Peer.close(ec);
+  if (PolledPeer >= 0) {
+    ::close(std::exchange(PolledPeer, -1));
+  } else {
+    Peer.close(ec);
+  }
   Caller.close(ec);
   Owner.Relays.erase(shared_from_this());
 }
--- a/packages/routing/include/nutmegsill/routing/processor_load.h
+++ b/packages/routing/include/nutmegsill/routing/processor_load.h
@@ -27,8 +27,11 @@
   /// the shortest objective, 150 ms.
   Duration CalmLag = milliseconds(15);
   Duration MaxLag = milliseconds(50);
-  /// Factors of the cost after a calm second, and after one with lag.
+  /// Factors of the cost after a calm second, and after one with lag. A host
+  /// that is calm at a load of 1 or more does less than was estimated: the cost
+  /// then falls in proportion, by half at most.
   double CostDecrease = 0.9;
+  double MinCostDecrease = 0.5;
   double CostIncrease = 1.2;
   /// Longest wait for processor time that is counted.
   Duration MaxWait = milliseconds(1'000);
--- a/packages/routing/src/processor_load.cpp
+++ b/packages/routing/src/processor_load.cpp
@@ -86,7 +86,8 @@
   const double load = ownLoad(now);
   double factor = 1;
   if (load >= Policy.InformativeLoad && HighestLag <= Policy.CalmLag) {
-    factor = Policy.CostDecrease;
+    factor = std::clamp(Policy.CostDecrease / load, Policy.MinCostDecrease,
+                        Policy.CostDecrease);
   } else if (load < Policy.InformativeLoad && load > 0.1 && isLagging()) {
     factor = Policy.CostIncrease;
   }
--- a/packages/standins/src/target_standin.cpp
+++ b/packages/standins/src/target_standin.cpp
@@ -101,12 +101,16 @@
 std::string TargetStandin::streamBody(int firstEvent) {
   std::string text;
   for (int i = firstEvent; i <= EventsPerStream; ++i) {
-    text += "id: " + std::to_string(i) + "\ndata: part " + std::to_string(i) +
-            "\n\n";
+    text += eventText(i);
   }
   return text;
 }
 
+std::string TargetStandin::eventText(int number) {
+  const std::string text = std::to_string(number);
+  return "id: " + text + "\ndata: part " + text + "\n\n";
+}
+
 std::string TargetStandin::jsonAnswer() { return R"({"answer":1})"; }
 
 std::string TargetStandin::responseHead(const ReceivedRequest &received,
@@ -268,9 +272,8 @@
   co_await exchange.sendBytes(std::move(text));
   const int firstEvent =
       received.LastEventId.empty() ? 1 : std::stoi(received.LastEventId) + 1;
-  for (int i = firstEvent; i <= EventsPerStream; ++i) {
-    const std::string event =
-        streamBody(i).substr(0, streamBody(i).find("\n\n") + 2);
+  for (int i = firstEvent; i <= EventCount; ++i) {
+    const std::string event = eventText(i);
     const bool breaksOff =
         mode == TargetMode::TruncatingStreams || spoilsResumed;
     if (breaksOff && i == 3) {
--- a/packages/standins/src/target_standin.h
+++ b/packages/standins/src/target_standin.h
@@ -117,6 +117,8 @@
   void setHeadBytes(std::size_t bytes);
   /// Sets the pause between two events of a stream.
   void setEventPause(std::chrono::milliseconds pause);
+  /// Sets the number of events of a stream that runs to its end.
+  void setEventCount(int count) { EventCount = count; }
   /// Requests in the order received, without those answered with status 421
   /// because they expected another instance.
   std::vector<ReceivedRequest> receivedRequests() const;
@@ -140,6 +142,7 @@
   /// Body of a stream that starts with event number `firstEvent`; the first
   /// event is number 1.
   static std::string streamBody(int firstEvent);
+  static std::string eventText(int number);
   /// Body of `TargetMode::JsonForStreams`.
   static std::string jsonAnswer();
 
@@ -183,6 +186,7 @@
   std::map<std::string, int> RunCounts;
   std::atomic<std::uint64_t> EndlessBytesSent{0};
   std::atomic<int> EndlessConnections{0};
+  std::atomic<int> EventCount{EventsPerStream};
   std::atomic<bool> Ended{false};
   boost::asio::io_context Io{1};
   std::thread Thread;
