Keep relayed sockets out of the event loop's epoll set

Cause: a relayed connection took 23 system calls, of which the event loop's bookkeeping (registration, FIONBIO, deregistration) and repeated reads were 9. Change: the relay has an epoll set of its own; connections are accepted with accept4 and get an event loop's socket only if this host serves them.

--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -10,6 +10,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <cerrno>
+#include <sys/socket.h>
+#include <unistd.h>
+
 namespace nutmegsill::gateway {
 
 namespace asio = boost::asio;
@@ -61,20 +65,31 @@
 
 void CallerListener::stop() {
   Stopped = true;
-  acceptPending(bootTimeNow());
+  if (Acceptor.is_open()) {
+    acceptPending(bootTimeNow());
+  }
   boost::system::error_code ec;
   Acceptor.close(ec);
 }
 
 std::size_t CallerListener::takePauses() { return std::exchange(Pauses, 0); }
 
-void CallerListener::take(Socket socket, Time now) {
+void CallerListener::take(int fd, Time now) {
   admission(now).recordAdmission(now);
   // A caller that has left costs no more than this.
-  if (peekSocket(socket) == SocketState::Closed) {
+  if (peekSocket(fd) == SocketState::Closed) {
+    ::close(fd);
+    return;
+  }
+  if (Relay && Relay(fd, now)) {
     return;
   }
-  if (!Relay || !Relay(socket, now)) {
+  boost::system::error_code ec;
+  Socket socket(Io);
+  socket.assign(Endpoint.protocol(), fd, ec);
+  if (ec) {
+    ::close(fd);
+  } else {
     OnConnection(std::move(socket));
   }
 }
@@ -83,35 +98,44 @@
   return IsRelaying && IsRelaying(now) ? RelayAdmission : Admission;
 }
 
-void CallerListener::acceptPending(Time now) {
-  boost::system::error_code ec;
-  for (int i = 1; i < MaxAcceptsAtOnce && admission(now).mayAdmit(now); ++i) {
-    Socket next(Io);
-    Acceptor.accept(next, ec);
-    if (ec) {
-      return;
+boost::system::error_code CallerListener::acceptPending(Time now) {
+  for (int i = 0; i < MaxAcceptsAtOnce && admission(now).mayAdmit(now); ++i) {
+    // The event loop's own accept costs a relayed connection four more system
+    // calls.
+    const int fd = ::accept4(Acceptor.native_handle(), nullptr, nullptr,
+                             SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      take(fd, now);
+    } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      break;
+    } else if (errno != EINTR && errno != ECONNABORTED) {
+      return {errno, boost::system::system_category()};
     }
-    take(std::move(next), now);
   }
+  return {};
 }
 
 asio::awaitable<void> CallerListener::accept() {
   for (;;) {
     boost::system::error_code ec;
-    Socket first = co_await Acceptor.async_accept(
-        asio::redirect_error(asio::use_awaitable, ec));
+    co_await Acceptor.async_wait(tcp::acceptor::wait_read,
+                                 asio::redirect_error(asio::use_awaitable, ec));
     const Time now = bootTimeNow();
     if (!Acceptor.is_open()) {
       break;
     }
+    if (!ec) {
+      ec = acceptPending(now);
+    }
     if (ec) {
       logLine("callers", "accept_failed", {{"reason", ec.message()}});
       asio::steady_timer timer(Io, AcceptRetryDelay);
       co_await timer.async_wait(asio::use_awaitable);
+      if (!Acceptor.is_open()) {
+        break;
+      }
       continue;
     }
-    take(std::move(first), now);
-    acceptPending(now);
     if (!admission(now).mayAdmit(now)) {
       break;
     }
--- a/packages/gateway/src/caller_listener.h
+++ b/packages/gateway/src/caller_listener.h
@@ -26,10 +26,10 @@
                  boost::asio::ip::tcp::endpoint endpoint,
                  ConnectionHandler onConnection);
 
-  /// Offers each connection to `relay` first while `isRelaying`, and then takes
-  /// as many as the lag of relaying allows.
+  /// Offers the descriptor of each connection to `relay` first while
+  /// `isRelaying`, and then takes as many as the lag of relaying allows.
   void setRelay(std::function<bool(Time)> isRelaying,
-                std::function<bool(Socket &, Time)> relay) {
+                std::function<bool(int, Time)> relay) {
     IsRelaying = std::move(isRelaying);
     Relay = std::move(relay);
   }
@@ -47,8 +47,11 @@
 
 private:
   boost::asio::awaitable<void> accept();
-  void acceptPending(Time now);
-  void take(Socket socket, Time now);
+  /// Takes the connections that wait, as admission allows; returns the error of
+  /// an accept that failed.
+  boost::system::error_code acceptPending(Time now);
+  /// Serves or relays an accepted connection.
+  void take(int fd, Time now);
   /// Leaves connections waiting until the next probe, or refuses them.
   void holdBack(Time now);
   /// The bound of connections that are served, or of those that are relayed.
@@ -60,7 +63,7 @@
   ConnectionHandler OnConnection;
   boost::asio::ip::tcp::acceptor Acceptor;
   std::function<bool(Time)> IsRelaying;
-  std::function<bool(Socket &, Time)> Relay;
+  std::function<bool(int, Time)> Relay;
   routing::ConnectionAdmission Admission{{}};
   routing::ConnectionAdmission RelayAdmission;
   /// `accept` is running.
--- a/packages/gateway/src/connection_relay.cpp
+++ b/packages/gateway/src/connection_relay.cpp
@@ -5,11 +5,14 @@
 #include "nutmegsill/http_client.h"
 #include "target_connection_pool.h"
 
+#include <array>
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 namespace nutmegsill::gateway {
@@ -42,85 +45,117 @@
 constexpr std::chrono::seconds FlushInterval{1};
 constexpr std::chrono::seconds DefaultStallTimeout{15};
 
-/// Sends what the system takes at once; returns the number of bytes, or nothing
-/// if the connection is lost.
-std::optional<std::size_t> sendNow(tcp::socket &to, const char *data,
-                                   std::size_t size) {
-  const ssize_t sent =
-      ::send(to.native_handle(), data, size, MSG_DONTWAIT | MSG_NOSIGNAL);
-  if (sent >= 0) {
-    return static_cast<std::size_t>(sent);
-  }
-  const bool blocked = errno == EAGAIN || errno == EWOULDBLOCK ||
-                       errno == EINTR || errno == ENOBUFS;
-  return blocked ? std::optional<std::size_t>(0) : std::nullopt;
+/// Events that are handled at once.
+constexpr std::size_t MaxEvents = 64;
+
+bool isBlocked(int error) {
+  return error == EAGAIN || error == EWOULDBLOCK || error == EINTR ||
+         error == ENOBUFS;
 }
 
-void resetConnection(tcp::socket &socket) {
-  boost::system::error_code ec;
-  socket.set_option(asio::socket_base::linger(true, 0), ec);
-  socket.close(ec);
+void setOption(int fd, int level, int name, const void *value, socklen_t size) {
+  // Errors are ignored: without the options bytes are only later.
+  (void)::setsockopt(fd, level, name, value, size);
+}
+
+/// Small later pieces would otherwise wait for an acknowledgement.
+void setNoDelay(int fd) {
+  const int on = 1;
+  setOption(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+void resetConnection(int &fd) {
+  if (fd >= 0) {
+    const linger reset{1, 0};
+    setOption(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    ::close(std::exchange(fd, -1));
+  }
 }
 
+void closeConnection(int &fd) {
+  if (fd >= 0) {
+    ::close(std::exchange(fd, -1));
+  }
+}
+
+constexpr std::uint32_t ReadEvents = EPOLLIN | EPOLLRDHUP | EPOLLET;
+constexpr std::uint32_t EndEvents = EPOLLRDHUP | EPOLLHUP | EPOLLERR;
+
 } // namespace
 
 class ConnectionRelays::Relay
     : public std::enable_shared_from_this<ConnectionRelays::Relay> {
 public:
-  Relay(ConnectionRelays &owner, Socket caller, HostId host, Time now)
+  Relay(ConnectionRelays &owner, int caller, HostId host, Time now)
       : Owner(owner), Host(std::move(host)), StartedAt(now),
-        Caller(std::move(caller)), Peer(owner.Io), Request(RequestBufferBytes),
-        Response(ResponseBufferBytes) {}
-  ~Relay();
+        Caller(*this, caller, RequestBufferBytes),
+        Peer(*this, -1, ResponseBufferBytes) {}
+  ~Relay() {
+    closeConnection(Caller.Fd);
+    closeConnection(Peer.Fd);
+  }
+  Relay(const Relay &) = delete;
+  Relay &operator=(const Relay &) = delete;
+
+  /// One of the two sockets, and the bytes that were read from it and are not
+  /// sent to the other one yet. The events of the epoll set point to it.
+  struct Side {
+    Side(Relay &owner, int fd, std::size_t size)
+        : Owner(owner), Fd(fd), Bytes(size) {}
+    bool isEmpty() const { return Begin == End; }
+    bool wasFull() const { return End == Bytes.size(); }
+
+    Relay &Owner;
+    int Fd;
+    std::vector<char> Bytes;
+    std::size_t Begin = 0;
+    std::size_t End = 0;
+    Time BlockedSince{};
+    bool Readable = false;
+    /// The end of the connection is among what can be read.
+    bool Ended = false;
+    /// Events that the epoll set waits for; 0 if the socket is not in it.
+    std::uint32_t Events = 0;
+    /// Writes since the other direction had bytes.
+    int Writes = 0;
+    bool NoDelay = false;
+  };
 
   bool connect(const Endpoint &address);
-  Socket takeCaller() { return std::move(Caller); }
+  /// Gives the caller's descriptor up.
+  int releaseCaller() { return std::exchange(Caller.Fd, -1); }
+  void handle(Side &side, std::uint32_t events);
   void checkTimes(Time now);
   void endSending();
   void reset();
 
 private:
   enum class Phase { Connecting, Relaying, Draining, Closed };
-  /// Bytes that were read and not sent yet.
-  struct Buffer {
-    explicit Buffer(std::size_t size) : Bytes(size) {}
-    std::vector<char> Bytes;
-    std::size_t Begin = 0;
-    std::size_t End = 0;
-    Time BlockedSince{};
-    bool isEmpty() const { return Begin == End; }
-    bool wasFull() const { return End == Bytes.size(); }
-  };
 
+  void waitFor(Side &side, std::uint32_t events);
+  /// Reads once into the buffer; returns the bytes, 0 if there are none now, or
+  /// nothing at the end, of which `error` is 0 or the reason.
+  std::optional<std::size_t> readSome(Side &from, int &error);
+  /// Sends what the system takes at once; returns whether the connection lasts.
+  bool flush(Side &from, Side &to);
   void readCaller();
   void readPeer();
-  void onCallerBytes(boost::system::error_code ec, std::size_t n);
-  void onPeerBytes(boost::system::error_code ec, std::size_t n);
-  /// Takes the peer's socket out of the event loop, and back.
-  void startPolling();
-  void stopPolling();
-  void pollPeer();
-  void onTakeOver(boost::system::error_code ec, std::size_t n);
-  void onPeerEnd(boost::system::error_code ec);
-  void flushRequest();
-  void flushResponse();
-  /// Waits until `to` takes bytes again, then calls `flush`.
-  void awaitWritable(Socket &to, Buffer &buffer, void (Relay::*flush)());
+  void takeOver();
+  void forwardRequest();
+  void forwardResponse();
+  void onPeerEnd(int error);
   void serveHere();
   void finish();
 
   ConnectionRelays &Owner;
   const HostId Host;
   const Time StartedAt;
-  Socket Caller;
-  Socket Peer;
-  tcp PeerProtocol = tcp::v4();
-  Buffer Request;
-  Buffer Response;
+  Side Caller;
+  Side Peer;
   Phase State = Phase::Connecting;
-  bool ReadingPeer = false;
-  /// The peer's socket while it is polled, otherwise -1.
-  int PolledPeer = -1;
+  /// Bytes of the response were forwarded since the last tick; more of them
+  /// wait for the next.
+  bool Paced = false;
   int QuietTicks = 0;
   /// Pieces of the response since the last bytes of the caller.
   int Pieces = 0;
@@ -133,127 +168,112 @@
   Time DrainUntil{};
 };
 
-ConnectionRelays::Relay::~Relay() {
-  if (PolledPeer >= 0) {
-    ::close(PolledPeer);
-  }
-}
-
 bool ConnectionRelays::Relay::connect(const Endpoint &address) {
-  const int fd = ::socket(address.protocol().family(),
-                          SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd < 0) {
+  Peer.Fd = ::socket(address.protocol().family(),
+                     SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (Peer.Fd < 0) {
     return false;
   }
-  const int on = 1;
-  (void)::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  const bool started = ::connect(fd, address.data(),
+  const bool started = ::connect(Peer.Fd, address.data(),
                                  static_cast<socklen_t>(address.size())) == 0 ||
                        errno == EINPROGRESS;
-  PeerProtocol = address.protocol();
-  boost::system::error_code ec;
-  Peer.assign(PeerProtocol, fd, ec);
-  if (ec) {
-    ::close(fd);
-  }
-  if (ec || !started) {
-    return false;
+  if (started) {
+    waitFor(Peer, ReadEvents);
   }
-  readPeer();
-  return true;
-}
-
-void ConnectionRelays::Relay::readCaller() {
-  Caller.async_read_some(
-      asio::buffer(Request.Bytes),
-      [self = shared_from_this()](boost::system::error_code ec, std::size_t n) {
-        self->onCallerBytes(ec, n);
-      });
+  return started;
 }
 
-void ConnectionRelays::Relay::readPeer() {
-  if (ReadingPeer) {
+void ConnectionRelays::Relay::waitFor(Side &side, std::uint32_t events) {
+  if (side.Events == events || side.Fd < 0) {
     return;
   }
-  stopPolling();
-  ReadingPeer = true;
-  Peer.async_read_some(
-      asio::buffer(Response.Bytes),
-      [self = shared_from_this()](boost::system::error_code ec, std::size_t n) {
-        self->onPeerBytes(ec, n);
-      });
+  epoll_event event{};
+  event.events = events;
+  event.data.ptr = &side;
+  const int operation = side.Events == 0 ? EPOLL_CTL_ADD
+                        : events == 0    ? EPOLL_CTL_DEL
+                                         : EPOLL_CTL_MOD;
+  (void)::epoll_ctl(Owner.Events.native_handle(), operation, side.Fd, &event);
+  side.Events = events;
 }
 
-void ConnectionRelays::Relay::onCallerBytes(boost::system::error_code ec,
-                                            std::size_t n) {
+void ConnectionRelays::Relay::handle(Side &side, std::uint32_t events) {
   if (State == Phase::Closed) {
     return;
   }
-  if (ec) {
-    // The caller has left: the peer cancels its request.
-    if (State == Phase::Relaying) {
-      stopPolling();
-      resetConnection(Peer);
+  Side &other = &side == &Caller ? Peer : Caller;
+  side.Ended = side.Ended || (events & EndEvents) != 0;
+  side.Readable = side.Readable || (events & (EPOLLIN | EndEvents)) != 0;
+  if ((events & EPOLLOUT) != 0 && !other.isEmpty()) {
+    if (&side == &Peer) {
+      forwardRequest();
+      readCaller();
+    } else {
+      forwardResponse();
+      readPeer();
     }
-    finish();
-    return;
   }
-  if (SendingEnded || State == Phase::Draining) {
-    readCaller();
+  if (!side.Readable) {
     return;
   }
-  if (RequestBytes == 0) {
-    Owner.Handover.recordRelayedRequest(Owner.Now);
-  }
-  RequestBytes += n;
-  Owner.NewBytes += n;
-  Pieces = 0;
-  stopPolling();
-  Request.Begin = 0;
-  Request.End = n;
-  flushRequest();
-  if (State == Phase::Relaying && Response.isEmpty()) {
+  if (&side == &Caller) {
+    readCaller();
+  } else if (State == Phase::Connecting) {
+    takeOver();
+  } else if (!Paced) {
     readPeer();
   }
 }
 
-void ConnectionRelays::Relay::flushRequest() {
-  if (State != Phase::Relaying) {
-    return;
-  }
-  const std::optional<std::size_t> sent =
-      sendNow(Peer, &Request.Bytes[Request.Begin], Request.End - Request.Begin);
-  if (!sent) {
-    // What the peer has sent before its end is still read.
-    SendingEnded = true;
+std::optional<std::size_t> ConnectionRelays::Relay::readSome(Side &from,
+                                                             int &error) {
+  const ssize_t n =
+      ::recv(from.Fd, from.Bytes.data(), from.Bytes.size(), MSG_DONTWAIT);
+  if (n > 0) {
+    from.Begin = 0;
+    from.End = static_cast<std::size_t>(n);
+    from.Readable = from.wasFull() || from.Ended;
+    Owner.NewBytes += from.End;
+    return from.End;
+  }
+  if (n < 0 && isBlocked(errno)) {
+    from.Readable = false;
+    return 0;
+  }
+  error = n == 0 ? 0 : errno;
+  return std::nullopt;
+}
+
+bool ConnectionRelays::Relay::flush(Side &from, Side &to) {
+  if (++to.Writes == 2 && !to.NoDelay) {
+    to.NoDelay = true;
+    setNoDelay(to.Fd);
   }
-  Request.Begin = sent ? Request.Begin + *sent : Request.End;
-  if (!Request.isEmpty()) {
-    awaitWritable(Peer, Request, &Relay::flushRequest);
-    return;
+  const ssize_t n = ::send(to.Fd, &from.Bytes[from.Begin],
+                           from.End - from.Begin, MSG_DONTWAIT | MSG_NOSIGNAL);
+  if (n < 0 && !isBlocked(errno)) {
+    from.Begin = from.End;
+    return false;
   }
-  if (SendingEnds) {
-    endSending();
+  from.Begin += n > 0 ? static_cast<std::size_t>(n) : 0;
+  if (!from.isEmpty()) {
+    from.BlockedSince = Owner.Now;
+    waitFor(to, ReadEvents | EPOLLOUT);
+  } else if ((to.Events & EPOLLOUT) != 0) {
+    waitFor(to, ReadEvents);
   }
-  readCaller();
-}
-
-void ConnectionRelays::Relay::awaitWritable(Socket &to, Buffer &buffer,
-                                            void (Relay::*flush)()) {
-  buffer.BlockedSince = Owner.Now;
-  to.async_wait(tcp::socket::wait_write, [self = shared_from_this(),
-                                          flush](boost::system::error_code ec) {
-    if (!ec) {
-      ((*self).*flush)();
-    }
-  });
+  return true;
 }
 
-void ConnectionRelays::Relay::onTakeOver(boost::system::error_code ec,
-                                         std::size_t n) {
-  if (ec || n != 1 || Response.Bytes[0] != TakenOver) {
+void ConnectionRelays::Relay::takeOver() {
+  int error = 0;
+  const std::optional<std::size_t> n = readSome(Peer, error);
+  if (n && *n == 0) {
+    return;
+  }
+  if (!n || *n != 1 || Peer.Bytes[0] != TakenOver) {
     // A peer that closes at once is saturated.
-    if (ec == asio::error::eof || ec == asio::error::connection_reset) {
+    if (error == 0 || error == ECONNRESET) {
       Owner.Handover.recordRefusal(Host, Owner.Now);
     } else {
       Owner.Handover.recordFailure(Host, Owner.Now);
@@ -261,104 +281,91 @@
     serveHere();
     return;
   }
+  Peer.Begin = Peer.End;
   State = Phase::Relaying;
+  // The request has usually arrived.
+  Caller.Readable = true;
   readCaller();
-  readPeer();
-  if (SendingEnds) {
+  waitFor(Caller, ReadEvents);
+  if (State == Phase::Relaying && SendingEnds) {
     endSending();
   }
 }
 
-void ConnectionRelays::Relay::onPeerBytes(boost::system::error_code ec,
-                                          std::size_t n) {
-  ReadingPeer = false;
-  if (State == Phase::Closed) {
-    return;
-  }
-  if (State == Phase::Connecting) {
-    onTakeOver(ec, n);
-    return;
-  }
-  if (ec) {
-    onPeerEnd(ec);
-    return;
-  }
-  Owner.Handover.recordRelayedPiece(Owner.Now);
-  Owner.NewBytes += n;
-  RequestBytes = 0;
-  ++Pieces;
-  Response.Begin = 0;
-  Response.End = n;
-  flushResponse();
-  if (Pieces >= MinStreamPieces) {
-    startPolling();
+void ConnectionRelays::Relay::readCaller() {
+  while (Caller.Readable && Caller.isEmpty() &&
+         (State == Phase::Relaying || State == Phase::Draining)) {
+    int error = 0;
+    const std::optional<std::size_t> n = readSome(Caller, error);
+    if (!n) {
+      // The caller has left: the peer cancels its request.
+      resetConnection(Peer.Fd);
+      finish();
+      return;
+    }
+    if (*n == 0) {
+      return;
+    }
+    if (SendingEnded || State == Phase::Draining) {
+      Caller.Begin = Caller.End;
+      continue;
+    }
+    if (RequestBytes == 0) {
+      Owner.Handover.recordRelayedRequest(Owner.Now);
+    }
+    RequestBytes += *n;
+    Pieces = 0;
+    Paced = false;
+    Caller.Writes = 0;
+    waitFor(Peer, ReadEvents);
+    forwardRequest();
   }
 }
 
-void ConnectionRelays::Relay::startPolling() {
-  if (State != Phase::Relaying || PolledPeer >= 0 || ReadingPeer ||
-      !Request.isEmpty() || !Response.isEmpty()) {
-    return;
+void ConnectionRelays::Relay::forwardRequest() {
+  if (!flush(Caller, Peer)) {
+    // What the peer has sent before its end is still read.
+    SendingEnded = true;
   }
-  boost::system::error_code ec;
-  const int fd = Peer.release(ec);
-  if (!ec) {
-    PolledPeer = fd;
-    QuietTicks = 0;
+  if (Caller.isEmpty() && SendingEnds) {
+    endSending();
   }
 }
 
-void ConnectionRelays::Relay::stopPolling() {
-  if (PolledPeer < 0) {
-    return;
-  }
-  boost::system::error_code ec;
-  Peer.assign(PeerProtocol, PolledPeer, ec);
-  if (ec) {
-    ::close(PolledPeer);
+void ConnectionRelays::Relay::readPeer() {
+  while (Peer.Readable && Peer.isEmpty() && State == Phase::Relaying) {
+    int error = 0;
+    const std::optional<std::size_t> n = readSome(Peer, error);
+    if (!n) {
+      onPeerEnd(error);
+      return;
+    }
+    if (*n == 0) {
+      return;
+    }
+    Owner.Handover.recordRelayedPiece(Owner.Now);
+    RequestBytes = 0;
+    Peer.Writes = 0;
+    ++Pieces;
+    Paced = true;
+    forwardResponse();
   }
-  PolledPeer = -1;
-}
-
-void ConnectionRelays::Relay::pollPeer() {
-  const ssize_t n = ::recv(PolledPeer, Response.Bytes.data(),
-                           Response.Bytes.size(), MSG_DONTWAIT);
-  if (n > 0) {
-    QuietTicks = 0;
-    onPeerBytes({}, static_cast<std::size_t>(n));
-  } else if (n == 0) {
-    onPeerEnd(asio::error::eof);
-  } else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
-    onPeerEnd(asio::error::connection_reset);
-  } else if (++QuietTicks > MaxQuietTicks) {
-    readPeer();
+  if (Pieces >= MinStreamPieces && State == Phase::Relaying &&
+      Caller.isEmpty()) {
+    waitFor(Peer, 0);
   }
 }
 
-void ConnectionRelays::Relay::flushResponse() {
-  if (State != Phase::Relaying) {
-    return;
-  }
-  const std::optional<std::size_t> sent = sendNow(
-      Caller, &Response.Bytes[Response.Begin], Response.End - Response.Begin);
-  if (!sent) {
-    stopPolling();
-    resetConnection(Peer);
+void ConnectionRelays::Relay::forwardResponse() {
+  if (!flush(Peer, Caller)) {
+    resetConnection(Peer.Fd);
     finish();
-    return;
-  }
-  Response.Begin += *sent;
-  if (!Response.isEmpty()) {
-    awaitWritable(Caller, Response, &Relay::flushResponse);
-  } else if (Response.wasFull()) {
-    readPeer();
   }
-  // What follows otherwise is read at the next tick.
 }
 
-void ConnectionRelays::Relay::onPeerEnd(boost::system::error_code ec) {
-  if (ec != asio::error::eof) {
-    resetConnection(Caller);
+void ConnectionRelays::Relay::onPeerEnd(int error) {
+  if (error != 0) {
+    resetConnection(Caller.Fd);
     finish();
     return;
   }
@@ -369,11 +376,10 @@
   // The caller may still be sending a body that the peer has rejected.
   State = Phase::Draining;
   DrainUntil = Owner.Now + MaxDrainTime;
-  Caller.shutdown(tcp::socket::shutdown_send, ec);
-  if (!Request.isEmpty()) {
-    Request.Begin = Request.End;
-    readCaller();
-  }
+  Caller.Begin = Caller.End;
+  closeConnection(Peer.Fd);
+  ::shutdown(Caller.Fd, SHUT_WR);
+  readCaller();
 }
 
 void ConnectionRelays::Relay::checkTimes(Time now) {
@@ -387,15 +393,26 @@
   case Phase::Relaying:
     if (!DetectsDeadPeer && now - StartedAt > DetectionDelay) {
       DetectsDeadPeer = true;
-      enableDeadPeerDetection(PolledPeer >= 0 ? PolledPeer
-                                              : Peer.native_handle());
+      enableDeadPeerDetection(Peer.Fd);
+    }
+    if (!Peer.isEmpty()) {
+      if (now - Peer.BlockedSince > Owner.StallTimeout) {
+        reset();
+      }
+      return;
     }
-    if (PolledPeer >= 0 && Response.isEmpty()) {
-      pollPeer();
-    } else if (Response.isEmpty()) {
+    Paced = false;
+    if (Peer.Events == 0) {
+      const int pieces = Pieces;
+      Peer.Readable = true;
+      readPeer();
+      QuietTicks = Pieces == pieces ? QuietTicks + 1 : 0;
+      if (State == Phase::Relaying && QuietTicks > MaxQuietTicks) {
+        QuietTicks = 0;
+        waitFor(Peer, ReadEvents);
+      }
+    } else if (Peer.Readable) {
       readPeer();
-    } else if (now - Response.BlockedSince > Owner.StallTimeout) {
-      reset();
     }
     return;
   case Phase::Draining:
@@ -410,40 +427,40 @@
 
 void ConnectionRelays::Relay::endSending() {
   SendingEnds = true;
-  if (State == Phase::Relaying && Request.isEmpty() && !SendingEnded) {
+  if (State == Phase::Relaying && Caller.isEmpty() && !SendingEnded) {
     SendingEnded = true;
-    stopPolling();
-    boost::system::error_code ec;
-    Peer.shutdown(tcp::socket::shutdown_send, ec);
+    ::shutdown(Peer.Fd, SHUT_WR);
   }
 }
 
 void ConnectionRelays::Relay::serveHere() {
   State = Phase::Closed;
+  closeConnection(Peer.Fd);
   boost::system::error_code ec;
-  Peer.close(ec);
-  Owner.ServeHere(std::move(Caller));
-  Owner.Relays.erase(shared_from_this());
+  Socket caller(Owner.Io);
+  sockaddr_storage address{};
+  socklen_t size = sizeof(address);
+  ::getsockname(Caller.Fd, reinterpret_cast<sockaddr *>(&address), &size);
+  caller.assign(address.ss_family == AF_INET6 ? tcp::v6() : tcp::v4(),
+                Caller.Fd, ec);
+  if (!ec) {
+    Caller.Fd = -1;
+    Owner.ServeHere(std::move(caller));
+  }
+  finish();
 }
 
 void ConnectionRelays::Relay::reset() {
-  stopPolling();
-  if (Peer.is_open()) {
-    resetConnection(Peer);
-  }
-  resetConnection(Caller);
+  resetConnection(Peer.Fd);
+  resetConnection(Caller.Fd);
   finish();
 }
 
 void ConnectionRelays::Relay::finish() {
   State = Phase::Closed;
-  boost::system::error_code ec;
-  if (PolledPeer >= 0) {
-    ::close(std::exchange(PolledPeer, -1));
-  } else {
-    Peer.close(ec);
-  }
-  Caller.close(ec);
+  closeConnection(Peer.Fd);
+  closeConnection(Caller.Fd);
+  Owner.Ended.push_back(shared_from_this());
   Owner.Relays.erase(shared_from_this());
 }
 
@@ -453,7 +470,7 @@
                                    ServeHandler serveHere)
     : Io(io), Handover(handover), Counters(metrics), MaxRelays(maxRelays),
       ServeHere(std::move(serveHere)), Tick(io),
-      StallTimeout(DefaultStallTimeout) {}
+      StallTimeout(DefaultStallTimeout), Events(io) {}
 
 ConnectionRelays::~ConnectionRelays() = default;
 
@@ -462,10 +479,14 @@
          Handover.hasPeer(now);
 }
 
-bool ConnectionRelays::take(Socket &caller, Time now) {
+bool ConnectionRelays::take(int caller, Time now) {
   if (!isRelaying(now)) {
     return false;
   }
+  if (!Events.is_open()) {
+    Events.assign(::epoll_create1(EPOLL_CLOEXEC));
+    awaitEvents();
+  }
   Now = now;
   const std::optional<routing::Handover::Peer> peer = Handover.choosePeer(now);
   const std::optional<Endpoint> address =
@@ -474,10 +495,10 @@
     return false;
   }
   const std::shared_ptr<Relay> relay =
-      std::make_shared<Relay>(*this, std::move(caller), peer->Host, now);
+      std::make_shared<Relay>(*this, caller, peer->Host, now);
   if (!relay->connect(*address)) {
     Handover.recordFailure(peer->Host, now);
-    caller = relay->takeCaller();
+    relay->releaseCaller();
     return false;
   }
   Handover.recordRelayedConnection(now);
@@ -490,6 +511,28 @@
   return true;
 }
 
+void ConnectionRelays::awaitEvents() {
+  Events.async_wait(asio::posix::stream_descriptor::wait_read,
+                    [this](boost::system::error_code ec) {
+                      if (!ec) {
+                        handleEvents();
+                        awaitEvents();
+                      }
+                    });
+}
+
+void ConnectionRelays::handleEvents() {
+  std::array<epoll_event, MaxEvents> events{};
+  const int n = ::epoll_wait(Events.native_handle(), events.data(),
+                             static_cast<int>(events.size()), 0);
+  for (int i = 0; i < n; ++i) {
+    const epoll_event &event = events[static_cast<std::size_t>(i)];
+    Relay::Side &side = *static_cast<Relay::Side *>(event.data.ptr);
+    side.Owner.handle(side, event.events);
+  }
+  Ended.clear();
+}
+
 void ConnectionRelays::runTick() {
   Tick.expires_after(TickInterval);
   Tick.async_wait([this](boost::system::error_code ec) {
@@ -502,6 +545,7 @@
       const std::shared_ptr<Relay> relay = *it++;
       relay->checkTimes(Now);
     }
+    Ended.clear();
     if (Now >= NextFlushAt || Relays.empty()) {
       flushCounters();
     }
--- a/packages/gateway/src/connection_relay.h
+++ b/packages/gateway/src/connection_relay.h
@@ -6,12 +6,14 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <set>
+#include <vector>
 
 namespace nutmegsill::gateway {
 
@@ -19,7 +21,9 @@
 /// sent before it, so that a host that refuses has run nothing.
 constexpr char TakenOver = 'T';
 
-/// The connections that this host relays. For the traffic thread only.
+/// The connections that this host relays. Their sockets are in an epoll set of
+/// their own, since the event loop's needs more system calls for each of them.
+/// For the traffic thread only.
 class ConnectionRelays {
 public:
   using Socket = boost::asio::ip::tcp::socket;
@@ -33,8 +37,9 @@
 
   /// Whether new connections are relayed at present.
   bool isRelaying(Time now);
-  /// Hands a connection over if this host should; `caller` is unchanged if not.
-  bool take(Socket &caller, Time now);
+  /// Hands a connection over if this host should, and then owns the descriptor,
+  /// which does not block.
+  bool take(int caller, Time now);
   /// Time after which a connection is ended whose caller takes no bytes.
   void setStallTimeout(Duration timeout) { StallTimeout = timeout; }
   /// Tells the peers that no further request follows.
@@ -46,6 +51,8 @@
 private:
   class Relay;
 
+  void awaitEvents();
+  void handleEvents();
   void runTick();
   void flushCounters();
 
@@ -60,7 +67,10 @@
   /// on some hosts.
   Time Now{};
   Duration StallTimeout;
+  boost::asio::posix::stream_descriptor Events;
   std::set<std::shared_ptr<Relay>> Relays;
+  /// Relays that have ended, until the events that may name them are handled.
+  std::vector<std::shared_ptr<Relay>> Ended;
   std::size_t NewRelays = 0;
   std::size_t NewBytes = 0;
   Time NextFlushAt{};
--- a/packages/gateway/src/target_connection_pool.cpp
+++ b/packages/gateway/src/target_connection_pool.cpp
@@ -29,9 +29,12 @@
 } // namespace
 
 SocketState peekSocket(boost::asio::ip::tcp::socket &socket, bool tellsEnd) {
+  return peekSocket(socket.native_handle(), tellsEnd);
+}
+
+SocketState peekSocket(int fd, bool tellsEnd) {
   char byte = 0;
-  const ssize_t n =
-      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t n = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   if (n > 0) {
     return SocketState::HasData;
   }
--- a/packages/gateway/src/target_connection_pool.h
+++ b/packages/gateway/src/target_connection_pool.h
@@ -19,6 +19,7 @@
 /// peer that only ended its sending side is `SendingEnded`, not `Closed`.
 SocketState peekSocket(boost::asio::ip::tcp::socket &socket,
                        bool tellsEnd = false);
+SocketState peekSocket(int fd, bool tellsEnd = false);
 
 /// Bytes that were sent and that the peer has not acknowledged.
 std::size_t unacknowledgedBytes(boost::asio::ip::tcp::socket &socket);
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -199,10 +199,9 @@
   if (!Context.Settings.HandoverEndpoint) {
     return std::nullopt;
   }
-  Listener.setRelay([this](Time now) { return Relays.isRelaying(now); },
-                    [this](CallerListener::Socket &caller, Time now) {
-                      return Relays.take(caller, now);
-                    });
+  Listener.setRelay(
+      [this](Time now) { return Relays.isRelaying(now); },
+      [this](int caller, Time now) { return Relays.take(caller, now); });
   TakenOver.emplace(
       Io, *Context.Settings.HandoverEndpoint,
       [this](Time now) {
