Count the first request of a connection when it is accepted; documents of hand-over

Cause: a saturated host reads requests late, so that its load was seen late; a time that was older than the last one drained the estimated queue twice. Change: a connection counts with its first request.

--- a/packages/gateway/src/connection_relay.cpp
+++ b/packages/gateway/src/connection_relay.cpp
@@ -161,6 +161,7 @@
   int Pieces = 0;
   /// Bytes of the caller since the last ones towards it.
   std::size_t RequestBytes = 0;
+  bool HasResponded = false;
   bool DetectsDeadPeer = false;
   /// Nothing more is sent to the peer.
   bool SendingEnds = false;
@@ -310,7 +311,7 @@
       Caller.Begin = Caller.End;
       continue;
     }
-    if (RequestBytes == 0) {
+    if (RequestBytes == 0 && HasResponded) {
       Owner.Handover.recordRelayedRequest(Owner.Now);
     }
     RequestBytes += *n;
@@ -345,6 +346,7 @@
     }
     Owner.Handover.recordRelayedPiece(Owner.Now);
     RequestBytes = 0;
+    HasResponded = true;
     Peer.Writes = 0;
     ++Pieces;
     Paced = true;
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -128,6 +128,8 @@
   void cancel(CancelCause cause);
 
   SessionContext &Context;
+  /// A request of the connection has been served.
+  bool HasServed = false;
   /// Another host relays the connection.
   const bool HandedOver;
   /// When the request ends at the latest, since that host stops.
@@ -443,10 +445,10 @@
 asio::awaitable<void> Session::serveRequest(Request &request) {
   request.Head = platform::parseRequestHead(request.Message.base());
   const std::optional<LocalResponse> localResponse = admitRequest(request);
-  Context.Handover.recordRequest(request.Admitted
-                                     ? request.Admitted->Route->Semantics
-                                     : routing::ExecutionSemantics::Idempotent,
-                                 request.ArrivedAt);
+  Context.Handover.recordRequest(
+      request.Admitted ? request.Admitted->Route->Semantics
+                       : routing::ExecutionSemantics::Idempotent,
+      !std::exchange(HasServed, true), request.ArrivedAt);
   if (localResponse) {
     co_await sendLocalResponse(request, *localResponse);
     co_return;
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -144,6 +144,9 @@
     if (!Context.refreshView(now)) {
       continue;
     }
+    if (Context.View->Config) {
+      Relays.setStallTimeout(Context.View->Config->Limits.IdleTimeout);
+    }
     Context.Counters.setOpenRequests(Context.RequestsInFlight);
     Context.Counters.setStateAge("configuration",
                                  toSeconds(Context.Shared.configAge(now)));
--- a/packages/gateway/test/peer_codec_test.cpp
+++ b/packages/gateway/test/peer_codec_test.cpp
@@ -27,6 +27,7 @@
       report.PromptsSent.push_back({TargetId{name}, it, numbers});
       report.IncludedHosts.push_back(HostId{name});
       report.Teams.push_back({TeamId{name}, {1.5, 0.5}});
+      report.Spare.push_back({HostId{name}, 12.5});
     }
     const std::optional<routing::LoadReport> decoded = roundTrip(report);
     RC_ASSERT(decoded.has_value());
@@ -40,6 +41,8 @@
       RC_ASSERT(decoded->PromptsSent[i].Parts == numbers);
       RC_ASSERT(decoded->IncludedHosts[i] == report.IncludedHosts[i]);
       RC_ASSERT(decoded->Teams[i].Rate.Requested == 1.5);
+      RC_ASSERT(decoded->Spare[i].Router == report.Spare[i].Router);
+      RC_ASSERT(decoded->Spare[i].RequestsPerSecond == 12.5);
     }
   });
   CHECK(passed);
--- a/packages/gateway/test/settings_test.cpp
+++ b/packages/gateway/test/settings_test.cpp
@@ -66,4 +66,15 @@
   CHECK(passed);
 }
 
+TEST_CASE_METHOD(SettingsFixture, "settings_handover_is_off_by_default") {
+  const auto parse = [this] {
+    return parseGatewaySettings(ValidSettings.dump());
+  };
+  CHECK_FALSE(parse().Value->HandoverEndpoint);
+  ValidSettings["gateway"]["handover"] = "10.0.0.1:85";
+  CHECK(parse().Value->HandoverEndpoint->port() == 85);
+  ValidSettings["gateway"]["handover"] = "85";
+  CHECK(hasErrorContaining("/gateway/handover"));
+}
+
 } // namespace nutmegsill::gateway
--- a/packages/routing/include/nutmegsill/routing/handover.h
+++ b/packages/routing/include/nutmegsill/routing/handover.h
@@ -30,7 +30,7 @@
   Duration MaxWait = milliseconds(50);
   /// It begins no earlier than this load of the last second: a few requests at
   /// once do not saturate a host.
-  double BeginLoad = 0.25;
+  double BeginLoad = 0.15;
   /// It ends when all work of the last second would be less than this fraction
   /// of the quota, and `MinTime` has passed.
   double EndLoad = 0.5;
@@ -73,11 +73,13 @@
   /// Finds the peers: larger hosts of this host's zone.
   void setView(const FleetView &view);
   void recordLag(Duration lag, Time now);
-  /// Records a connection or request that this host serves.
+  /// Records a connection that this host serves. Its first request counts as
+  /// soon as it is accepted: a saturated host reads it late.
   void recordConnection(Time now);
-  void recordRequest(ExecutionSemantics semantics, Time now);
-  /// Records a connection, a caller's bytes, and a piece of a response that
-  /// this host relays.
+  /// Records a request that this host serves.
+  void recordRequest(ExecutionSemantics semantics, bool isFirst, Time now);
+  /// Records a connection with its first request, a later request, and a piece
+  /// of a response that this host relays.
   void recordRelayedConnection(Time now);
   void recordRelayedRequest(Time now);
   void recordRelayedPiece(Time now);
--- a/packages/routing/src/handover.cpp
+++ b/packages/routing/src/handover.cpp
@@ -71,16 +71,19 @@
 }
 
 void Handover::recordConnection(Time now) {
-  Load.addOwn(Policy.ConnectionWork, now);
+  Load.addOwn(Policy.ConnectionWork + Policy.RequestWork, now);
 }
 
-void Handover::recordRequest(ExecutionSemantics semantics, Time now) {
+void Handover::recordRequest(ExecutionSemantics semantics, bool isFirst,
+                             Time now) {
   const bool isStream = semantics == ExecutionSemantics::Stream;
-  Load.addOwn(isStream ? Policy.StreamWork : Policy.RequestWork, now);
+  const double work = isStream ? Policy.StreamWork : Policy.RequestWork;
+  Load.addOwn(isFirst ? work - Policy.RequestWork : work, now);
 }
 
 void Handover::recordRelayedConnection(Time now) {
-  Load.addRelayed(Policy.ConnectionWork, Policy.RelayedConnectionWork, now);
+  Load.addRelayed(Policy.ConnectionWork + Policy.RequestWork,
+                  Policy.RelayedConnectionWork + Policy.RelayedPieceWork, now);
 }
 
 void Handover::recordRelayedRequest(Time now) {
--- a/packages/routing/src/processor_load.cpp
+++ b/packages/routing/src/processor_load.cpp
@@ -33,7 +33,7 @@
 void ProcessorLoad::drain(Time now) {
   const double drained = toSeconds(now - DrainedAt) * capacity();
   WaitingWork = std::max(0.0, WaitingWork - std::max(0.0, drained));
-  DrainedAt = now;
+  DrainedAt = std::max(DrainedAt, now);
 }
 
 void ProcessorLoad::addRelayed(double work, double done, Time now) {
--- a/packages/routing/test/handover_test.cpp
+++ b/packages/routing/test/handover_test.cpp
@@ -64,7 +64,6 @@
       const std::size_t large = peer->Host.Text == "l0" ? 8 : 9;
       if (Hosts[large].mayTakeOver(Now)) {
         small.recordRelayedConnection(Now);
-        small.recordRelayedRequest(Now);
         serve(large);
         return;
       }
@@ -74,7 +73,7 @@
   }
   void serve(std::size_t host) {
     Hosts[host].recordConnection(Now);
-    Hosts[host].recordRequest(ExecutionSemantics::Idempotent, Now);
+    Hosts[host].recordRequest(ExecutionSemantics::Idempotent, true, Now);
     ++Served[host];
   }
   std::size_t servedByLarge() const { return Served[8] + Served[9]; }
