Keep shared prompt parts by zone where each zone has many engines

Cause: a shared part has one preferred engine in the fleet, so that three of four prompts leave their zone in a fleet of four zones; bytes between zones are the largest cost there. Change: with the setting placement.zone_home_engines, and at least that many engines in each zone, the preferred engine of a part is in the zone of the router, and a request whose parts only another zone has is kept in its zone with the probability that the costs of crossing and of reading the parts give.

--- a/packages/gateway/src/settings.cpp
+++ b/packages/gateway/src/settings.cpp
@@ -142,6 +142,9 @@
       errors.emplace_back("/curve: expected Z85 keys of 40 characters");
     }
   }
+  MemberReader placement(root, "placement", false, errors);
+  out.ZoneHomes.MinEngines =
+      static_cast<std::size_t>(placement.readNumber("zone_home_engines", 0));
   readBounds(root, out.Bounds, errors);
   if (errors.empty()) {
     result.Value = std::move(out);
--- a/packages/gateway/src/settings.h
+++ b/packages/gateway/src/settings.h
@@ -3,6 +3,7 @@
 
 #include "nutmegsill/http_client.h"
 #include "nutmegsill/routing/retry_budget.h"
+#include "nutmegsill/routing/zone_homes.h"
 #include "peer_socket.h"
 
 #include <optional>
@@ -41,6 +42,7 @@
   /// fleet's reference speed; only the ratio between hosts matters.
   double ProcessorShare = 1;
   std::optional<CurveKeys> Curve;
+  routing::ZoneHomePolicy ZoneHomes;
   FleetBounds Bounds;
 };
 
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -33,6 +33,12 @@
 /// smallest hosts, 88 MB.
 constexpr std::size_t MaxBufferedResponseBytes = 16U << 20U;
 
+routing::DispatchPolicy dispatchPolicy(const GatewaySettings &settings) {
+  routing::DispatchPolicy out;
+  out.ZoneHomes = settings.ZoneHomes;
+  return out;
+}
+
 } // namespace
 
 const std::shared_ptr<const routing::FleetView> &
@@ -59,7 +65,7 @@
     : Context{settings,
               shared,
               metrics,
-              routing::Dispatcher(settings.Host, {},
+              routing::Dispatcher(settings.Host, dispatchPolicy(settings),
                                   settings.Bounds.RetryBudget),
               {},
               BufferBudget(MaxBufferedResponseBytes),
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -14,6 +14,7 @@
 #include "nutmegsill/routing/retry_budget.h"
 #include "nutmegsill/routing/target_statements.h"
 #include "nutmegsill/routing/team_share.h"
+#include "nutmegsill/routing/zone_homes.h"
 
 #include <optional>
 #include <random>
@@ -186,6 +187,7 @@
   double ColdRateFraction = 0.6;
   /// Number of preferred routers that may send to one cold target.
   std::uint32_t ColdSenderCount = 3;
+  ZoneHomePolicy ZoneHomes;
 };
 
 /// The load reports of one interval and their recipients.
@@ -368,13 +370,15 @@
   double candidateCost(const EngineCandidate &candidate,
                        const DispatchRequest &request,
                        const TargetId *preferred, std::uint32_t cachedAnywhere,
-                       double backlog) const;
+                       double backlog, double crossZoneCost) const;
   /// Returns the target that the rendezvous hash assigns to the last shared
   /// part of the prompt; null if the prompt has none or no target serves the
   /// pool.
   const TargetId *preferredTarget(const PromptDescription &prompt,
                                   const PoolId &pool) const;
   void updatePools();
+  /// Counts the engines of each zone for `PartHomes`.
+  void updatePartHomes();
   void updateMaxEngineCount();
   /// Prompt tokens per second that one engine prefills by the configuration.
   double configuredPrefillRate() const;
@@ -408,6 +412,7 @@
   SentPromptLog UnreportedOwnPrompts;
   SentPromptLog UnreportedGroupPrompts;
   std::uint64_t RotationOffset = 0;
+  ZoneHomes PartHomes;
   std::minstd_rand Random;
   /// Maximum number of engines in any view so far.
   std::size_t MaxEngineCount = 0;
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -66,7 +66,7 @@
                        RetryBudgetPolicy budget)
     : Self(std::move(self)), Policy(policy), Budget(budget),
       Peers(policy.MaxReportAge), Caches(policy.PrefixCacheRetention),
-      Quarantine(Self), Statements(Self),
+      Quarantine(Self), Statements(Self), PartHomes(policy.ZoneHomes),
       Random(static_cast<std::uint32_t>(rendezvousWeight(Self, "")) | 1U) {}
 
 void Dispatcher::setView(std::shared_ptr<const FleetView> view, Time now) {
@@ -95,6 +95,7 @@
   updatePools();
   updateMaxEngineCount();
   updateColdSenders();
+  updatePartHomes();
   Recipients = routing::reportRecipients(View->Routers, Self);
   std::vector<HostId> routers;
   for (const RouterEntry &it : View->Routers) {
--- a/packages/routing/src/engine_choice.cpp
+++ b/packages/routing/src/engine_choice.cpp
@@ -4,6 +4,7 @@
 #include "nutmegsill/routing/dispatcher.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace nutmegsill::routing {
@@ -37,6 +38,18 @@
          static_cast<double>(MaxEngineCount);
 }
 
+void Dispatcher::updatePartHomes() {
+  std::map<ZoneId, std::size_t> engines;
+  for (const auto &[id, state] : Targets) {
+    const TargetEntry &entry = state.Known.Entry;
+    const PoolRule *pool = View->Config->findPool(entry.Pool);
+    if (pool != nullptr && pool->Engine) {
+      ++engines[entry.Zone];
+    }
+  }
+  PartHomes.setEngines(engines);
+}
+
 double Dispatcher::waitFraction(double usage) const {
   if (usage > Policy.WaitRampEnd) {
     // The inverse equalises the throughput of teams far over their shares.
@@ -69,7 +82,9 @@
   const TargetId *best = nullptr;
   std::uint64_t most = 0;
   for (const TargetState *it : known->second.Targets) {
-    if (it->Known.Entry.Draining || it->Known.InEvacuatedZone) {
+    const bool isElsewhere =
+        PartHomes.isActive() && it->Known.Entry.Zone != OwnZone;
+    if (it->Known.Entry.Draining || it->Known.InEvacuatedZone || isElsewhere) {
       continue;
     }
     const std::uint64_t weight = rendezvousWeight(it->Seed, key);
@@ -84,8 +99,8 @@
 double Dispatcher::candidateCost(const EngineCandidate &candidate,
                                  const DispatchRequest &request,
                                  const TargetId *preferred,
-                                 std::uint32_t cachedAnywhere,
-                                 double backlog) const {
+                                 std::uint32_t cachedAnywhere, double backlog,
+                                 double crossZoneCost) const {
   const TargetState &state = *candidate.Target;
   const double objective =
       std::max(1e-3, toSeconds(request.Route->LatencyObjective));
@@ -106,7 +121,7 @@
   return lateness * Policy.LatenessCost + recomputedFraction * recomputeCost +
          expectedFraction * Policy.WaitCost +
          candidate.Imbalance * Policy.ImbalanceCost + state.FailureRate +
-         (state.Known.Entry.Zone == OwnZone ? 0.0 : Policy.CrossZoneCost) -
+         (state.Known.Entry.Zone == OwnZone ? 0.0 : crossZoneCost) -
          (isPreferred ? Policy.PreferredTargetBonus : 0.0);
 }
 
@@ -121,16 +136,29 @@
     const auto known = cached.find(it->Known.Entry.Target);
     return known == cached.end() ? 0U : known->second;
   };
-  std::uint32_t most = 0;
+  // With homes by zone, the engines of the own zone and the others are sampled
+  // apart.
+  struct Group {
+    std::uint32_t MostTokens = 0;
+    std::size_t WithMost = 0;
+    std::size_t Others = 0;
+  };
+  std::array<Group, 2> groups;
+  const auto groupOf = [this, &groups](const TargetState *it) -> Group & {
+    const bool isElsewhere =
+        PartHomes.isActive() && it->Known.Entry.Zone != OwnZone;
+    return groups[isElsewhere ? 1 : 0];
+  };
   for (const TargetState *it : eligible) {
-    most = std::max(most, tokens(it));
+    Group &group = groupOf(it);
+    group.MostTokens = std::max(group.MostTokens, tokens(it));
   }
   std::shuffle(eligible.begin(), eligible.end(), Random);
   std::vector<TargetState *> out;
-  std::size_t withMost = 0;
-  std::size_t others = 0;
   for (TargetState *it : eligible) {
-    std::size_t &count = tokens(it) == most ? withMost : others;
+    Group &group = groupOf(it);
+    std::size_t &count =
+        tokens(it) == group.MostTokens ? group.WithMost : group.Others;
     const bool isPreferred =
         preferred != nullptr && *preferred == it->Known.Entry.Target;
     if (isPreferred || count < Policy.RandomCandidates) {
@@ -186,8 +214,12 @@
     cachedAnywhere = std::max(cachedAnywhere, it.CachedTokens);
   }
   const double backlog = poolState(request.Pool, now).BacklogFraction;
+  const double crossZoneCost = PartHomes.isActive()
+                                   ? PartHomes.crossZoneCost(Random)
+                                   : Policy.CrossZoneCost;
   for (EngineCandidate &it : engines) {
-    it.Cost = candidateCost(it, request, preferred, cachedAnywhere, backlog);
+    it.Cost = candidateCost(it, request, preferred, cachedAnywhere, backlog,
+                            crossZoneCost);
   }
   std::stable_sort(engines.begin(), engines.end(),
                    [](const EngineCandidate &a, const EngineCandidate &b) {
