Choose plain targets by the load that they state

What callers saw: with 97 routers and three targets at under half of their capacity, a quarter of the arrivals at targets was refused and a third of the at-most-once requests late or refused.

Cause: routers compared targets by the requests that routers report as running, which are 0.2 to 1.5 s old; all follow the same target. What targets state in each response (running, waiting, slots, pace) was dropped.

Each response's load is read, kept with its age (`service_load`) and travels in load reports (field 15). A target's expected time comes from the stated load while it is fresh, and from the reported running requests as it ages; the usual time of a request is learned per pool. A request goes to the better of two random targets, drawn by the requests that they can still serve in time. A target that refuses gets nothing for the usual time and does not count as failing. A request that would be late at every target waits at the router for half of its objective at most, at-most-once kinds first, then by the time at which they become late (`place_queue`); then it is rejected with a Retry-After from the expected times. Engines' expected times follow their stated pace. Pools whose targets state no load are served as before.

`logDispatch` and the target's request move out of session.cpp, the choice among plain targets out of dispatcher.cpp; both are shorter than before.

--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -85,6 +85,17 @@
     entry->set_sent(it.Sent);
     entry->set_leaving(it.Leaving);
   }
+  for (const routing::TargetStateReport &it : report.TargetStates) {
+    wire::TargetState *entry = out.add_target_states();
+    entry->set_target(it.Process.Target.Text);
+    entry->set_started_at_ms(it.Process.StartedAtMs);
+    entry->set_running(it.Load.Running);
+    entry->set_waiting(it.Load.Waiting);
+    entry->set_slots(it.Load.Slots);
+    entry->set_pace_percent(
+        static_cast<std::uint32_t>(std::lround(it.Load.Pace * 100)));
+    entry->set_age_ms(ageToWire(it.Age));
+  }
 }
 
 void encode(const routing::RelayedChanges &changes,
@@ -207,6 +218,17 @@
          it.sent(),
          it.leaving()});
   }
+  for (const wire::TargetState &it : in.target_states()) {
+    const double pace = it.pace_percent() / 100.0;
+    const std::optional<routing::StatedLoad> load =
+        routing::checkedLoad(it.running(), it.waiting(), it.slots(), pace);
+    if (load) {
+      report.TargetStates.push_back(
+          {{TargetId{it.target()}, it.started_at_ms()},
+           *load,
+           milliseconds(it.age_ms())});
+    }
+  }
   return report;
 }
 
--- /dev/null
+++ b/packages/gateway/src/request_log.cpp
@@ -0,0 +1,34 @@
+#include "request_log.h"
+
+#include "log.h"
+
+namespace nutmegsill::gateway {
+
+void logDispatch(const std::string &requestId,
+                 const routing::DispatchRequest &request,
+                 const routing::Assignment &assignment, std::uint64_t view,
+                 ConfigRevision revision) {
+  logLine(
+      "request", "dispatched",
+      {{"id", requestId},
+       {"team", request.Team.Text},
+       {"route", request.Route->Name},
+       {"target", assignment.Target.Text},
+       {"expected_ms",
+        std::to_string(toMilliseconds(assignment.ExpectedFirstEvent))},
+       {"cached", std::to_string(assignment.CachedTokens)},
+       {"prefill", std::to_string(assignment.PrefillTokens)},
+       {"output", std::to_string(request.Prompt.MaxOutputTokens)},
+       {"used_share", std::to_string(assignment.Share.Usage)},
+       {"fair_rate", std::to_string(assignment.Share.Rate)},
+       {"capacity", std::to_string(assignment.Share.Capacity)},
+       {"share_age_ms", std::to_string(toMilliseconds(assignment.Share.Age))},
+       {"limit",
+        assignment.StatedRate ? std::to_string(*assignment.StatedRate) : ""},
+       {"view", std::to_string(view)},
+       {"revision", std::to_string(revision.Value)},
+       {"report_age_ms", std::to_string(assignment.OldestReportAgeMs)},
+       {"left_ms", std::to_string(toMilliseconds(request.RemainingTime))}});
+}
+
+} // namespace nutmegsill::gateway
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -5,6 +5,8 @@
 #include "nutmegsill/routing/admission.h"
 #include "nutmegsill/routing/request_lifecycle.h"
 #include "nutmegsill/transfer_coding.h"
+#include "request_log.h"
+#include "target_request.h"
 #include "traffic_server.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -42,6 +44,10 @@
 /// Time for which bytes of a rejected request are read and dropped.
 constexpr std::chrono::seconds MaxDrainTime{2};
 
+/// Interval at which a waiting request looks for a place beside the responses
+/// that state one: what is known of targets also changes with its age.
+constexpr milliseconds PlaceCheckInterval{20};
+
 /// Time beyond a timeout for bytes that had arrived before it; a process that
 /// was suspended finds its timers expired.
 constexpr milliseconds ReadTime{100};
@@ -100,11 +106,13 @@
   asio::awaitable<void> serveRequest(Request &request);
   std::optional<LocalResponse> admitRequest(Request &request);
   asio::awaitable<void> dispatch(Request &request);
+  /// Waits for a place if the request may; returns whether to choose a target
+  /// again.
+  asio::awaitable<bool> waitForPlace(Request &request, Time now);
   asio::awaitable<ExchangeOutcome> attempt(Request &request,
                                            Assignment &assignment);
   ExchangeRequest makeExchangeRequest(const Request &request,
                                       const Assignment &assignment);
-  void logDispatch(const Request &request, const Assignment &assignment);
   asio::awaitable<void> completeRequest(Request &request,
                                         const ExchangeOutcome &outcome);
   asio::awaitable<void> sendLocalResponse(Request &request,
@@ -139,6 +147,8 @@
   /// ignored.
   std::uint64_t TimerGeneration = 0;
   bool WatchingCaller = false;
+  /// Set while the request waits for a place at a target.
+  std::optional<routing::PlaceTicket> WaitsForPlace;
   /// No byte of the next request has been read.
   bool AwaitsRequest = false;
   /// Reset when the coroutine ends; pending handlers hold a weak pointer and
@@ -185,6 +195,8 @@
   }
   if (CurrentExchange != nullptr) {
     CurrentExchange->abort();
+  } else if (WaitsForPlace) {
+    Context.Waiters.wake(*WaitsForPlace);
   } else if (cause == CancelCause::TimeLimit ||
              cause == CancelCause::DrainTimeout) {
     stopReading();
@@ -197,7 +209,9 @@
 }
 
 void Session::endRequest(bool readsFirst) {
-  if (CurrentExchange != nullptr && !(readsFirst && hasUnreadBytes())) {
+  const bool reads = CurrentExchange != nullptr && readsFirst;
+  const bool serves = CurrentExchange != nullptr || WaitsForPlace;
+  if (serves && !(reads && hasUnreadBytes())) {
     cancel(CancelCause::TimeLimit);
   }
 }
@@ -227,7 +241,7 @@
                               return;
                             }
                             WatchingCaller = false;
-                            if (CurrentExchange == nullptr) {
+                            if (CurrentExchange == nullptr && !WaitsForPlace) {
                               return;
                             }
                             if (ec == asio::error::operation_aborted) {
@@ -449,10 +463,19 @@
     }
     const Time now = bootTimeNow();
     Context.refreshView(now);
+    const bool waited = lifecycle.dispatchRequest().Ticket.has_value();
     routing::DispatchDecision decision =
         lifecycle.chooseTarget(Context.Dispatcher, now);
     Assignment *assignment = std::get_if<Assignment>(&decision);
+    if (waited && assignment != nullptr) {
+      Context.Counters.countPlaceWait("placed");
+      Context.wakeWaiting(assignment->Pool);
+    }
     if (assignment == nullptr) {
+      const bool mayChoose = co_await waitForPlace(request, now);
+      if (mayChoose) {
+        continue;
+      }
       break;
     }
     outcome = co_await attempt(request, *assignment);
@@ -476,9 +499,30 @@
     }
   }
   lifecycle.releaseReserved(Context.Dispatcher, bootTimeNow());
+  if (lifecycle.endWait(Context.Dispatcher)) {
+    Context.Counters.countPlaceWait(outcome.CallerDisconnected ? "caller_left"
+                                                               : "rejected");
+    Context.wakeWaiting(request.Admitted->Pool);
+  }
   co_await completeRequest(request, outcome);
 }
 
+asio::awaitable<bool> Session::waitForPlace(Request &request, Time now) {
+  const Duration time = request.Lifecycle->beginWait(Context.Dispatcher, now);
+  if (time <= Duration{0}) {
+    co_return false;
+  }
+  WaitsForPlace = request.Lifecycle->dispatchRequest().Ticket;
+  CancelledBy = CancelCause::None;
+  watchCaller();
+  co_await Context.Waiters.wait(*WaitsForPlace,
+                                std::min<Duration>(time, PlaceCheckInterval));
+  WaitsForPlace.reset();
+  // `dispatch` finds that the caller has disconnected.
+  co_return CancelledBy == CancelCause::None ||
+      CancelledBy == CancelCause::CallerDisconnected;
+}
+
 ExchangeRequest Session::makeExchangeRequest(const Request &request,
                                              const Assignment &assignment) {
   platform::ForwardedRequestValues forwarded;
@@ -489,67 +533,13 @@
   if (request.Events) {
     forwarded.LastEventId = request.Events->lastEventId();
   }
-  ExchangeRequest exchangeRequest;
-  const http::request<http::string_body> &message = request.Message;
-  exchangeRequest.Head.append(message.method_string().data(),
-                              message.method_string().size());
-  exchangeRequest.Head.append(" ");
-  exchangeRequest.Head.append(message.target().data(), message.target().size());
-  exchangeRequest.Head.append(" HTTP/1.1\r\n");
-  const http::fields fields =
-      platform::makeForwardedRequestFields(message.base(), forwarded);
-  for (const auto &it : fields) {
-    exchangeRequest.Head.append(it.name_string().data(),
-                                it.name_string().size());
-    exchangeRequest.Head.append(": ");
-    exchangeRequest.Head.append(it.value().data(), it.value().size());
-    exchangeRequest.Head.append("\r\n");
-  }
-  const bool hasNoBody =
-      message.body().empty() && (message.method() == http::verb::get ||
-                                 message.method() == http::verb::head);
-  if (!hasNoBody) {
-    exchangeRequest.Head.append("Content-Length: ")
-        .append(std::to_string(message.body().size()))
-        .append("\r\n");
-  }
-  exchangeRequest.Head.append("\r\n");
-  exchangeRequest.Body = message.body();
-  exchangeRequest.RequestId = request.Head.RequestId;
-  exchangeRequest.IsStream =
+  ExchangeRequest out = makeTargetRequest(request.Message, forwarded);
+  out.RequestId = request.Head.RequestId;
+  out.IsStream =
       request.Admitted->Route->Semantics == routing::ExecutionSemantics::Stream;
-  exchangeRequest.ResponseHasNoBody = message.method() == http::verb::head;
-  exchangeRequest.MaxIdleConnections =
+  out.MaxIdleConnections =
       Context.Dispatcher.maxConnectionsPerTarget(assignment.Pool);
-  return exchangeRequest;
-}
-
-void Session::logDispatch(const Request &request,
-                          const Assignment &assignment) {
-  const routing::DispatchRequest &dispatchRequest =
-      request.Lifecycle->dispatchRequest();
-  logLine(
-      "request", "dispatched",
-      {{"id", request.Head.RequestId},
-       {"team", dispatchRequest.Team.Text},
-       {"route", dispatchRequest.Route->Name},
-       {"target", assignment.Target.Text},
-       {"expected_ms",
-        std::to_string(toMilliseconds(assignment.ExpectedFirstEvent))},
-       {"cached", std::to_string(assignment.CachedTokens)},
-       {"prefill", std::to_string(assignment.PrefillTokens)},
-       {"output", std::to_string(dispatchRequest.Prompt.MaxOutputTokens)},
-       {"used_share", std::to_string(assignment.Share.Usage)},
-       {"fair_rate", std::to_string(assignment.Share.Rate)},
-       {"capacity", std::to_string(assignment.Share.Capacity)},
-       {"share_age_ms", std::to_string(toMilliseconds(assignment.Share.Age))},
-       {"limit",
-        assignment.StatedRate ? std::to_string(*assignment.StatedRate) : ""},
-       {"view", std::to_string(Context.View->Version)},
-       {"revision", std::to_string(request.Admitted->Config->Revision.Value)},
-       {"report_age_ms", std::to_string(assignment.OldestReportAgeMs)},
-       {"left_ms",
-        std::to_string(toMilliseconds(dispatchRequest.RemainingTime))}});
+  return out;
 }
 
 asio::awaitable<ExchangeOutcome> Session::attempt(Request &request,
@@ -567,7 +557,8 @@
   const Duration attemptTimeout = lifecycle.attemptTimeout(assignment, begin);
   ExchangeRequest exchangeRequest = makeExchangeRequest(request, assignment);
   exchangeRequest.TargetEndpoint = *targetEndpoint;
-  logDispatch(request, assignment);
+  logDispatch(request.Head.RequestId, lifecycle.dispatchRequest(), assignment,
+              Context.View->Version, request.Admitted->Config->Revision);
   exchangeRequest.OnConnected = [this, &request, &assignment, attemptTimeout] {
     routing::RequestLifecycle &lifecycle = *request.Lifecycle;
     const Duration timeLeft = lifecycle.remainingTime(bootTimeNow());
@@ -602,6 +593,10 @@
           Context.Dispatcher.recordStatement(assignment, statement,
                                              bootTimeNow());
         }
+        if (!isLate && head.Load) {
+          Context.Dispatcher.recordLoad(assignment, *head.Load, bootTimeNow());
+          Context.wakeWaiting(assignment.Pool);
+        }
       };
   bool responseStarted = false;
   exchangeRequest.OnProgress = [this, &assignment, &responseStarted, &request] {
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -45,6 +45,12 @@
   return View;
 }
 
+void SessionContext::wakeWaiting(const PoolId &pool) {
+  if (const auto ticket = Dispatcher.placeQueue().first(pool)) {
+    Waiters.wake(*ticket);
+  }
+}
+
 std::optional<routing::StopSchedule> SessionContext::stopSchedule() const {
   const std::optional<Time> signalledAt = StopSignal::arrivedAt();
   if (!signalledAt) {
--- a/packages/gateway/src/traffic_server.h
+++ b/packages/gateway/src/traffic_server.h
@@ -10,6 +10,7 @@
 #include "nutmegsill/routing/dispatcher.h"
 #include "nutmegsill/routing/host_overload.h"
 #include "nutmegsill/routing/stop_schedule.h"
+#include "place_waiters.h"
 #include "settings.h"
 #include "shared_state.h"
 #include "target_connection_pool.h"
@@ -38,7 +39,11 @@
   routing::RouteDurations Durations;
   std::size_t RequestsInFlight = 0;
   std::shared_ptr<const routing::FleetView> View;
+  PlaceWaiters Waiters = {};
 
+  /// Lets the most urgent request that waits for a place in the pool look for
+  /// one.
+  void wakeWaiting(const PoolId &pool);
   /// Adopts the newest view and returns it; null before the first.
   const std::shared_ptr<const routing::FleetView> &refreshView(Time now);
   /// Set once the process has been asked to stop.
--- a/packages/gateway/test/peer_codec_test.cpp
+++ b/packages/gateway/test/peer_codec_test.cpp
@@ -45,6 +45,21 @@
   CHECK(passed);
 }
 
+// Guards against a report that is dropped whole for one unusable load.
+TEST_CASE_METHOD(PeerCodecFixture, "peer_codec_target_states_round_trip") {
+  routing::LoadReport report;
+  const routing::TargetProcess process{TargetId{"d-1"}, 1'791'368'900'847};
+  report.TargetStates = {{process, {5, 3, 6, 2.5}, milliseconds(120)},
+                         {process, {1, 1, 0, 1}, milliseconds(1)}};
+  CHECK_FALSE(report.isEmpty());
+  const std::optional<routing::LoadReport> decoded = roundTrip(report);
+  REQUIRE(decoded);
+  REQUIRE(decoded->TargetStates.size() == 1);
+  CHECK(decoded->TargetStates[0].Process == process);
+  CHECK(decoded->TargetStates[0].Load == report.TargetStates[0].Load);
+  CHECK(decoded->TargetStates[0].Age == milliseconds(120));
+}
+
 TEST_CASE_METHOD(PeerCodecFixture, "peer_codec_quarantine_round_trips") {
   routing::LoadReport report;
   using routing::CrashCause;
--- a/packages/process/src/metrics.cpp
+++ b/packages/process/src/metrics.cpp
@@ -54,6 +54,9 @@
                             "Times that callers' connections were refused "
                             "for lack of processor time")
                 .Add({})),
+        PlaceWaits(registerCounter(*Registry, "nutmegsill_place_waits_total",
+                                   "Requests that waited for a place at a "
+                                   "target")),
         RequestLatency(prometheus::BuildHistogram()
                            .Name("nutmegsill_request_seconds")
                            .Help("Time to the end of callers' requests")
@@ -87,6 +90,7 @@
   Family<Counter> &Requests;
   Family<Counter> &FleetChanges;
   Counter &ListeningPauses;
+  Family<Counter> &PlaceWaits;
   Family<Histogram> &RequestLatency;
   Family<Histogram> &FirstPartLatency;
   Family<Gauge> &StateAges;
@@ -160,4 +164,8 @@
   Impl->ListeningPauses.Increment(static_cast<double>(count));
 }
 
+void Metrics::countPlaceWait(const std::string &outcome) {
+  Impl->PlaceWaits.Add({{"outcome", outcome}}).Increment();
+}
+
 } // namespace nutmegsill
--- a/packages/process/src/metrics.h
+++ b/packages/process/src/metrics.h
@@ -36,6 +36,8 @@
   /// Counts the times that callers' connections were refused until the next
   /// probe for lack of processor time.
   void countListeningPauses(std::size_t count);
+  /// Counts a request that waited for a place at a target, by how that ended.
+  void countPlaceWait(const std::string &outcome);
 
 private:
   struct Implementation;
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -6,12 +6,14 @@
 #include "nutmegsill/routing/load_report.h"
 #include "nutmegsill/routing/model.h"
 #include "nutmegsill/routing/peer_loads.h"
+#include "nutmegsill/routing/place_queue.h"
 #include "nutmegsill/routing/prefill_rate.h"
 #include "nutmegsill/routing/prefix_cache_tracker.h"
 #include "nutmegsill/routing/prompt.h"
 #include "nutmegsill/routing/report_recipients.h"
 #include "nutmegsill/routing/request_identity.h"
 #include "nutmegsill/routing/retry_budget.h"
+#include "nutmegsill/routing/service_load.h"
 #include "nutmegsill/routing/target_statements.h"
 #include "nutmegsill/routing/team_share.h"
 
@@ -38,6 +40,8 @@
   std::vector<TargetId> AttemptedTargets;
   /// An earlier attempt may have reached its target.
   bool IsRetry = false;
+  /// Set while the request waits for a place at a plain target.
+  std::optional<PlaceTicket> Ticket;
 };
 
 /// The target chosen for one attempt of a request.
@@ -65,6 +69,9 @@
   std::optional<double> StatedRate;
   /// The request is a trial of a quarantined cause.
   bool IsTrial = false;
+  /// Expected time of the response of a plain target relative to the usual
+  /// time; 0 if the target has stated no load.
+  double TimeFactor = 0;
 };
 
 /// Why no target was chosen for a request.
@@ -91,6 +98,8 @@
   FairShare Share;
   /// The quarantined request or part, and what is known against it.
   std::string Evidence = {};
+  /// Time for which the request may wait for a place instead.
+  Duration MayWait{0};
 };
 
 using DispatchDecision = std::variant<Assignment, Rejection>;
@@ -186,6 +195,16 @@
   double ColdRateFraction = 0.6;
   /// Number of preferred routers that may send to one cold target.
   std::uint32_t ColdSenderCount = 3;
+  /// Fraction of the objective at which a plain target is expected to have
+  /// responded; the rest is for the way back to the caller.
+  double ServiceTimeFraction = 0.9;
+  /// Fraction of the objective for which a request waits for a place at the
+  /// router if it would be late at every target. The other half is enough for
+  /// the usual time, about a fifth of the objective, on a slow target.
+  double PlaceWaitFraction = 0.5;
+  /// The same fraction that a request that is late already may take at a
+  /// target: it yields to those that can still be in time.
+  double LateServiceFraction = 0.5;
 };
 
 /// The load reports of one interval and their recipients.
@@ -221,6 +240,15 @@
   /// Records what the response's header states of the target.
   void recordStatement(const Assignment &assignment,
                        const TargetStatement &statement, Time now);
+  /// Records the load that the response's header states of the target.
+  void recordLoad(const Assignment &assignment, const StatedLoad &load,
+                  Time now);
+  /// The requests that wait for a place at a plain target.
+  PlaceQueue &placeQueue() { return Places; }
+  /// Time until a target of the request's pool is expected to serve one in
+  /// time; `otherwise` for pools whose targets state no load.
+  Duration placeRetryAfter(const DispatchRequest &request, Duration otherwise,
+                           Time now);
   /// Takes back that the request was a trial of a quarantined cause, as no
   /// target ran it.
   void withdrawTrial(const DispatchRequest &request,
@@ -304,6 +332,15 @@
     double Imbalance = 0;
     double Cost = 0;
   };
+  /// A plain target that a request could be sent to.
+  struct ServiceCandidate {
+    TargetState *Target = nullptr;
+    /// Time of the response relative to the usual time.
+    double TimeFactor = 1;
+    Duration Expected{0};
+    /// Further requests that it can serve in time; 0 if it would be late.
+    double Headroom = 0;
+  };
 
   /// Only engines are asked for prompts.
   SuspectRequest suspectOf(const DispatchRequest &request) const;
@@ -317,6 +354,22 @@
   bool isEligible(TargetState &state, const DispatchRequest &request, Time now);
   DispatchDecision chooseEngine(const DispatchRequest &request, Time now);
   DispatchDecision chooseService(const DispatchRequest &request, Time now);
+  /// Chooses by the requests in flight, if no target has stated its load.
+  DispatchDecision
+  chooseUnstatedService(const std::vector<TargetState *> &eligible,
+                        const DispatchRequest &request, Time now);
+  std::vector<ServiceCandidate>
+  serviceCandidates(const std::vector<TargetState *> &eligible,
+                    const DispatchRequest &request, Time now);
+  /// Orders the candidates: a random one of those with headroom first, then by
+  /// expected time.
+  void rankServices(std::vector<ServiceCandidate> &candidates);
+  /// Lets a request wait for a place, or rejects it.
+  Rejection rejectForPlaces(const std::vector<ServiceCandidate> &candidates,
+                            const DispatchRequest &request);
+  /// Learns from the end of a request to a plain target.
+  void recordServiceResult(const Assignment &assignment, ExchangeResult result,
+                           Time now);
   /// Returns the pool's targets with a recent summary of the peers' loads.
   PoolState &poolState(const PoolId &pool, Time now);
   std::vector<TargetState *> candidates(const DispatchRequest &request,
@@ -400,6 +453,8 @@
   PrefixCacheTracker Caches;
   CrashQuarantine Quarantine;
   TargetStatements Statements;
+  ServiceLoad Services;
+  PlaceQueue Places;
   bool IsPreferred = true;
   ReportRecipients Recipients;
   /// `Recipients.GroupPeers` as a set.
--- a/packages/routing/include/nutmegsill/routing/request_lifecycle.h
+++ b/packages/routing/include/nutmegsill/routing/request_lifecycle.h
@@ -33,6 +33,11 @@
   /// Chooses the target of the next attempt, or returns why there is none. A
   /// reserved one is taken.
   DispatchDecision chooseTarget(Dispatcher &dispatcher, Time now);
+  /// Lets a request that was not sent wait for a place; returns for how long, 0
+  /// if it may not. Call `endWait` in the end.
+  Duration beginWait(Dispatcher &dispatcher, Time now);
+  /// Returns whether the request was waiting.
+  bool endWait(Dispatcher &dispatcher);
   /// Reserves a target for the attempt after the present one; false if there is
   /// none.
   bool reserveTarget(Dispatcher &dispatcher, const Assignment &present,
@@ -80,6 +85,8 @@
   AttemptOutcome LastOutcome;
   std::optional<Rejection> LastRejection;
   std::optional<Assignment> Reserved;
+  /// Retry-After if all attempted targets refused the request.
+  Duration RefusedRetryAfter{0};
 };
 
 } // namespace nutmegsill::routing
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -27,13 +27,6 @@
 constexpr Duration MaxLimitRetryAfter = std::chrono::seconds(5);
 /// Retry-After when the retry budget is exhausted.
 constexpr Duration ExhaustedBudgetRetryAfter = milliseconds(300);
-/// Penalty of a failure rate of 1, in running requests, when a service target
-/// is chosen.
-constexpr double FailurePenalty = 12;
-/// Penalty of a target in another availability zone, in running requests: a hop
-/// takes a few milliseconds each way, a request about 15 ms.
-constexpr double CrossZonePenalty = 0.6;
-
 bool contains(const std::vector<TargetId> &list, const TargetId &id) {
   return std::find(list.begin(), list.end(), id) != list.end();
 }
@@ -92,6 +85,7 @@
     processes.insert(processOf(state));
   }
   Statements.setFleet(processes, View->Routers.size(), now);
+  Services.setFleet(processes);
   updatePools();
   updateMaxEngineCount();
   updateColdSenders();
@@ -194,6 +188,7 @@
   }
   Quarantine.receive(report.Quarantine, relayed, now);
   if (!own) {
+    Services.receive(report.TargetStates, relayed, now);
     Statements.receive(peer, std::move(report.Statements), now);
   }
   if (peer != Self) {
@@ -327,37 +322,6 @@
   return decision;
 }
 
-DispatchDecision Dispatcher::chooseService(const DispatchRequest &request,
-                                           Time now) {
-  const std::vector<TargetState *> eligible = candidates(request, now);
-  if (eligible.empty()) {
-    return rejectWithoutTarget(request, milliseconds(300), now);
-  }
-  ++RotationOffset;
-  std::vector<std::pair<double, TargetState *>> ranked;
-  for (std::size_t i = 0; i < eligible.size(); ++i) {
-    // A rotating start index spreads requests over targets with equal scores.
-    TargetState *it = eligible[(i + RotationOffset) % eligible.size()];
-    const std::uint32_t running =
-        it->RunningRequests + it->PeerLoad.RunningRequests;
-    const double load = static_cast<double>(running) * 6.0 /
-                        std::max(1U, it->Known.Entry.Slots);
-    const double score =
-        load + FailurePenalty * it->FailureRate +
-        (it->Known.Entry.Zone == OwnZone ? 0.0 : CrossZonePenalty);
-    ranked.emplace_back(score, it);
-  }
-  std::stable_sort(
-      ranked.begin(), ranked.end(),
-      [](const auto &a, const auto &b) { return a.first < b.first; });
-  for (const auto &[score, it] : ranked) {
-    if (Statements.offer(processOf(*it), now)) {
-      return assign(*it, request, now);
-    }
-  }
-  return rejectForLimits(request, {}, now);
-}
-
 Dispatcher::TargetState *
 Dispatcher::assignedTarget(const Assignment &assignment) {
   const auto it = Targets.find(assignment.Target);
@@ -402,10 +366,12 @@
       std::min<std::uint64_t>(state.PrefillTokens, assignment.PrefillTokens);
   assignment.PrefillTokens = 0;
   state.RunningRequests -= std::min(state.RunningRequests, 1U);
-  // A target that asks for a pause does not fail.
-  const bool pauses = result == ExchangeResult::Refused &&
-                      Statements.pauseOf(processOf(state), now).has_value();
-  if (result == ExchangeResult::Cancelled || pauses) {
+  recordServiceResult(assignment, result, now);
+  // A target that asks for a pause, or states that it is full, does not fail.
+  const bool isFull = result == ExchangeResult::Refused &&
+                      (Statements.pauseOf(processOf(state), now).has_value() ||
+                       Services.isStated(processOf(state)));
+  if (result == ExchangeResult::Cancelled || isFull) {
     return;
   }
   const bool succeeded = result == ExchangeResult::Completed;
@@ -441,6 +407,9 @@
   for (FleetChange &it : Statements.takeChanges()) {
     out.push_back(std::move(it));
   }
+  for (FleetChange &it : Services.takeChanges()) {
+    out.push_back(std::move(it));
+  }
   return out;
 }
 
@@ -468,11 +437,13 @@
     out.GroupReport.Quarantine = Quarantine.takeGroupReport(now);
     out.GroupReport.Statements = Statements.groupReport(
         out.OwnReport.Statements, Recipients.GroupPeers, now);
+    out.GroupReport.TargetStates = Services.takeGroupReport(now);
   } else {
     out.Recipients.RemotePeers.clear();
   }
   out.OwnReport.PromptsSent = UnreportedOwnPrompts.take();
   out.OwnReport.Quarantine = Quarantine.takeOwnReport(now);
+  out.OwnReport.TargetStates = Services.takeOwnReport(now);
   return out;
 }
 
--- a/packages/routing/src/engine_choice.cpp
+++ b/packages/routing/src/engine_choice.cpp
@@ -166,7 +166,8 @@
         it->RunningRequests + peers.RunningRequests >= limits.MaxBatchSize;
     candidate.OutstandingTokens = prefillTokens;
     candidate.ExpectedFirstEvent =
-        fromSeconds(prefillTokens / it->ExpectedRate) +
+        fromSeconds(prefillTokens / it->ExpectedRate *
+                    Services.relativePace(processOf(*it), now)) +
         Policy.FirstEventOverhead + (full ? FullBatchPenalty : Duration{0});
     candidate.Imbalance =
         mean < 1 ? 0 : std::min(1.0, it->RecentTokens / mean - 1);
--- a/packages/routing/src/peer_loads.cpp
+++ b/packages/routing/src/peer_loads.cpp
@@ -8,6 +8,7 @@
   report.PromptsSent.clear();
   report.Quarantine = {};
   report.Statements.clear();
+  report.TargetStates.clear();
   const auto old = Reports.find(peer);
   if (old != Reports.end()) {
     subtract(old->second.Report);
--- a/packages/routing/src/request_lifecycle.cpp
+++ b/packages/routing/src/request_lifecycle.cpp
@@ -47,10 +47,33 @@
   DispatchDecision decision = dispatcher.chooseTarget(Request, now);
   if (const Rejection *it = std::get_if<Rejection>(&decision)) {
     LastRejection = *it;
+  } else {
+    endWait(dispatcher);
   }
   return decision;
 }
 
+Duration RequestLifecycle::beginWait(Dispatcher &dispatcher, Time now) {
+  if (!LastRejection || LastRejection->MayWait <= Duration{0}) {
+    return Duration{0};
+  }
+  if (!Request.Ticket) {
+    Request.Ticket = dispatcher.placeQueue().enter(
+        Request.Pool, Request.Team,
+        PlaceUrgency::of(*Request.Route, Request.ElapsedTime, now));
+  }
+  return Request.Ticket ? LastRejection->MayWait : Duration{0};
+}
+
+bool RequestLifecycle::endWait(Dispatcher &dispatcher) {
+  const bool waited = Request.Ticket.has_value();
+  if (waited) {
+    dispatcher.placeQueue().leave(Request.Pool, *Request.Ticket);
+    Request.Ticket.reset();
+  }
+  return waited;
+}
+
 bool RequestLifecycle::reserveTarget(Dispatcher &dispatcher,
                                      const Assignment &present, Time now) {
   DispatchRequest next = Request;
@@ -117,6 +140,10 @@
   }
   ++SentAttempts;
   MayHaveRun = MayHaveRun || outcome.Result != ExchangeResult::Refused;
+  if (outcome.Result == ExchangeResult::Refused) {
+    RefusedRetryAfter =
+        dispatcher.placeRetryAfter(Request, NotRunRetryAfter, now);
+  }
   Request.IsRetry = true;
   return mayRetry(dispatcher, outcome, now);
 }
@@ -173,7 +200,7 @@
   }
   if (!MayHaveRun) {
     return {503, "target_refused: " + LastOutcome.Reason + then,
-            NotRunRetryAfter};
+            RefusedRetryAfter};
   }
   const bool late = LastOutcome.Result == ExchangeResult::TimedOut;
   return {late ? 504U : 502U, LastOutcome.Reason + then, std::nullopt};
