--- a/packages/standins/src/target_standin.cpp
+++ b/packages/standins/src/target_standin.cpp
@@ -76,6 +76,11 @@
   EventPause = pause;
 }
 
+void TargetStandin::setResponsePause(std::chrono::milliseconds pause) {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  ResponsePause = pause;
+}
+
 std::vector<ReceivedRequest> TargetStandin::receivedRequests() const {
   const std::lock_guard<std::mutex> lock(Mutex);
   return Received;
@@ -219,6 +224,14 @@
 asio::awaitable<void> TargetStandin::sendPlain(ServerExchange &exchange,
                                                const ReceivedRequest &received,
                                                TargetMode mode) {
+  std::chrono::milliseconds pause{0};
+  {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    pause = ResponsePause;
+  }
+  if (pause.count() > 0) {
+    co_await exchange.sleep(pause);
+  }
   const std::string body = "answer to " + received.RequestId;
   const unsigned status = mode == TargetMode::Failing ? 500 : 200;
   std::string text = responseHead(received, status, mode) +
--- a/packages/standins/src/target_standin.h
+++ b/packages/standins/src/target_standin.h
@@ -115,6 +115,8 @@
   void setResponseFields(std::string lines);
   /// Sets how much of a head `TargetMode::CuttingHeads` sends.
   void setHeadBytes(std::size_t bytes);
+  /// Sets the time that a plain response takes.
+  void setResponsePause(std::chrono::milliseconds pause);
   /// Sets the pause between two events of a stream.
   void setEventPause(std::chrono::milliseconds pause);
   /// Requests in the order received, without those answered with status 421
@@ -177,6 +179,7 @@
   mutable std::mutex Mutex;
   TargetMode Mode = TargetMode::Serving;
   std::chrono::milliseconds EventPause{2};
+  std::chrono::milliseconds ResponsePause{0};
   std::string ResponseFields;
   std::size_t HeadBytes = 0;
   std::vector<ReceivedRequest> Received;
