Start a second attempt beside a slow first one

Requests of idempotent routes whose response is not streamed: after the delay that `hedging` states, a second exchange runs with another target (not cold, ejected, full, leaving or evacuated). The first complete response is used and the other exchange is ended at once. Both count in `attempts`; the second counts in the retry budget and in `hedging.budget` (absent: off). Log line request/hedged, metric nutmegsill_hedges_total.

recordEnd's log line and the handling of response heads move out of session.cpp.

--- a/packages/gateway/src/request_log.cpp
+++ b/packages/gateway/src/request_log.cpp
@@ -31,4 +31,29 @@
        {"left_ms", std::to_string(toMilliseconds(request.RemainingTime))}});
 }
 
+void logHedge(const std::string &requestId, const routing::Assignment &first,
+              const routing::Assignment &second, Duration delay) {
+  logLine("request", "hedged",
+          {{"id", requestId},
+           {"first", first.Target.Text},
+           {"target", second.Target.Text},
+           {"after_ms", std::to_string(toMilliseconds(delay))}});
+}
+
+void logEnd(const RequestEnd &end) {
+  logLine("request", "ended",
+          {{"id", end.Id},
+           {"team", end.Team},
+           {"route", end.Route},
+           {"outcome", end.Outcome},
+           {"status", std::to_string(end.Status)},
+           {"reason", end.Reason},
+           {"sends", std::to_string(end.Sends)},
+           {"first_ms", end.TimeToFirstPart ? std::to_string(toMilliseconds(
+                                                  *end.TimeToFirstPart))
+                                            : ""},
+           {"config_age_ms", std::to_string(toMilliseconds(end.ConfigAge))},
+           {"ms", std::to_string(toMilliseconds(end.Elapsed))}});
+}
+
 } // namespace nutmegsill::gateway
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -1,6 +1,6 @@
 #include "session.h"
 
-#include "exchange.h"
+#include "hedged_attempt.h"
 #include "log.h"
 #include "nutmegsill/routing/admission.h"
 #include "nutmegsill/routing/request_lifecycle.h"
@@ -138,7 +138,7 @@
   ResponseWriter Writer;
   /// Bounded, since the parser waits for the end of a chunk's extension.
   beast::flat_buffer ReadBuffer{MaxCallerBufferBytes};
-  Exchange *CurrentExchange = nullptr;
+  HedgedExchange *CurrentExchange = nullptr;
   CancelCause CancelledBy = CancelCause::None;
   /// Reserves a target for the next attempt. If there is none, returns false
   /// and sets the timer to the deadline. Empty before the request is sent.
@@ -444,6 +444,7 @@
   }
   Context.Dispatcher.recordRequest(request.Lifecycle->dispatchRequest(),
                                    request.ArrivedAt);
+  Context.Hedges.recordRequest(request.Admitted->Pool, request.ArrivedAt);
   const RouteRule &route = *request.Admitted->Route;
   if (route.Semantics == routing::ExecutionSemantics::Stream &&
       route.Resumable) {
@@ -567,6 +568,7 @@
       ReserveTarget = [this, &lifecycle, &assignment] {
         const Time now = bootTimeNow();
         const bool reserved =
+            !CurrentExchange->hasSecond() &&
             lifecycle.reserveTarget(Context.Dispatcher, assignment, now);
         if (!reserved) {
           armTimer(lifecycle.remainingTime(now), CancelCause::TimeLimit);
@@ -579,24 +581,7 @@
   };
   exchangeRequest.OnResponseHead =
       [this, &assignment](const platform::ResponseHead &head, bool isLate) {
-        // A misdirected request is answered by another target.
-        if (head.Misdirected) {
-          return;
-        }
-        routing::TargetStatement statement = head.Statement;
-        if (isLate) {
-          // Only that the target leaves cannot have become untrue since.
-          statement = {};
-          statement.Leaving = head.Statement.Leaving;
-        }
-        if (!isLate || statement.Leaving) {
-          Context.Dispatcher.recordStatement(assignment, statement,
-                                             bootTimeNow());
-        }
-        if (!isLate && head.Load) {
-          Context.Dispatcher.recordLoad(assignment, *head.Load, bootTimeNow());
-          Context.wakeWaiting(assignment.Pool);
-        }
+        Context.recordResponseHead(assignment, head, isLate);
       };
   bool responseStarted = false;
   exchangeRequest.OnProgress = [this, &assignment, &responseStarted, &request] {
@@ -610,9 +595,14 @@
     }
     responseStarted = true;
   };
-  Exchange exchange(Context.TargetConnections, Context.ResponseBuffers,
-                    std::move(exchangeRequest), Writer,
-                    request.Events ? &*request.Events : nullptr);
+  Exchange first(Context.TargetConnections, Context.ResponseBuffers,
+                 std::move(exchangeRequest), Writer,
+                 request.Events ? &*request.Events : nullptr);
+  HedgedExchange exchange(first);
+  HedgedAttempt hedge(Context, *request.Lifecycle, Writer);
+  hedge.prepare(exchange, assignment, [this, &request](const Assignment &it) {
+    return makeExchangeRequest(request, it);
+  });
   CurrentExchange = &exchange;
   CancelledBy = CancelCause::None;
   if (remaining > ConnectTimeout) {
@@ -625,6 +615,7 @@
   CurrentExchange = nullptr;
   ReserveTarget = nullptr;
   ++TimerGeneration;
+  hedge.finish(exchange, outcome, assignment);
   const bool timedOut = CancelledBy == CancelCause::TimeLimit ||
                         CancelledBy == CancelCause::AttemptTimeout;
   if (timedOut && outcome.Result == ExchangeResult::Cancelled) {
@@ -699,22 +690,18 @@
     Context.Counters.observeFirstPart(kind,
                                       toSeconds(*request.TimeToFirstPart));
   }
-  logLine("request", "ended",
-          {{"id", request.Head.RequestId},
-           {"team", request.Admitted ? request.Admitted->Team.Text : ""},
-           {"route", request.Admitted ? request.Admitted->Route->Name : ""},
-           {"outcome", outcome},
-           {"status", std::to_string(status)},
-           {"reason", reason},
-           {"sends",
-            std::to_string(request.Lifecycle ? request.Lifecycle->sentAttempts()
-                                             : 0)},
-           {"first_ms", request.TimeToFirstPart ? std::to_string(toMilliseconds(
-                                                      *request.TimeToFirstPart))
-                                                : ""},
-           {"config_age_ms", std::to_string(toMilliseconds(
-                                 Context.Shared.configAge(bootTimeNow())))},
-           {"ms", std::to_string(toMilliseconds(elapsed))}});
+  RequestEnd end;
+  end.Id = request.Head.RequestId;
+  end.Team = request.Admitted ? request.Admitted->Team.Text : "";
+  end.Route = request.Admitted ? request.Admitted->Route->Name : "";
+  end.Outcome = outcome;
+  end.Status = status;
+  end.Reason = reason;
+  end.Sends = request.Lifecycle ? request.Lifecycle->sentAttempts() : 0;
+  end.TimeToFirstPart = request.TimeToFirstPart;
+  end.ConfigAge = Context.Shared.configAge(bootTimeNow());
+  end.Elapsed = elapsed;
+  logEnd(end);
 }
 
 } // namespace
--- a/packages/gateway/src/settings.cpp
+++ b/packages/gateway/src/settings.cpp
@@ -143,6 +143,11 @@
     }
   }
   readBounds(root, out.Bounds, errors);
+  MemberReader hedging(root, "hedging", false, errors);
+  out.Hedging.Budget = hedging.readNumber("budget", out.Hedging.Budget);
+  if (out.Hedging.Budget > 1) {
+    errors.emplace_back("/hedging/budget: expected a fraction of 0 to 1");
+  }
   if (errors.empty()) {
     result.Value = std::move(out);
   }
--- a/packages/gateway/src/settings.h
+++ b/packages/gateway/src/settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "nutmegsill/http_client.h"
+#include "nutmegsill/routing/hedging.h"
 #include "nutmegsill/routing/retry_budget.h"
 #include "peer_socket.h"
 
@@ -42,6 +43,8 @@
   double ProcessorShare = 1;
   std::optional<CurveKeys> Curve;
   FleetBounds Bounds;
+  /// Off by default.
+  routing::HedgingPolicy Hedging;
 };
 
 /// Settings, or every error found as "PATH: expected FORM".
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -51,6 +51,28 @@
   }
 }
 
+void SessionContext::recordResponseHead(const routing::Assignment &assignment,
+                                        const platform::ResponseHead &head,
+                                        bool isLate) {
+  // A misdirected request is answered by another target.
+  if (head.Misdirected) {
+    return;
+  }
+  const Time now = bootTimeNow();
+  routing::TargetStatement statement = head.Statement;
+  if (isLate) {
+    statement = {};
+    statement.Leaving = head.Statement.Leaving;
+  }
+  if (!isLate || statement.Leaving) {
+    Dispatcher.recordStatement(assignment, statement, now);
+  }
+  if (!isLate && head.Load) {
+    Dispatcher.recordLoad(assignment, *head.Load, now);
+    wakeWaiting(assignment.Pool);
+  }
+}
+
 std::optional<routing::StopSchedule> SessionContext::stopSchedule() const {
   const std::optional<Time> signalledAt = StopSignal::arrivedAt();
   if (!signalledAt) {
--- a/packages/gateway/src/traffic_server.h
+++ b/packages/gateway/src/traffic_server.h
@@ -7,7 +7,9 @@
 #include "caller_listener.h"
 #include "control_server.h"
 #include "metrics.h"
+#include "nutmegsill/platform/headers.h"
 #include "nutmegsill/routing/dispatcher.h"
+#include "nutmegsill/routing/hedging.h"
 #include "nutmegsill/routing/host_overload.h"
 #include "nutmegsill/routing/stop_schedule.h"
 #include "place_waiters.h"
@@ -40,10 +42,15 @@
   std::size_t RequestsInFlight = 0;
   std::shared_ptr<const routing::FleetView> View;
   PlaceWaiters Waiters = {};
+  routing::Hedging Hedges = routing::Hedging(Settings.Hedging);
 
   /// Lets the most urgent request that waits for a place in the pool look for
   /// one.
   void wakeWaiting(const PoolId &pool);
+  /// Records what a response states of its target. Of a late response to an
+  /// earlier request only that the target leaves is still true.
+  void recordResponseHead(const routing::Assignment &assignment,
+                          const platform::ResponseHead &head, bool isLate);
   /// Adopts the newest view and returns it; null before the first.
   const std::shared_ptr<const routing::FleetView> &refreshView(Time now);
   /// Set once the process has been asked to stop.
--- a/packages/gateway/test/settings_test.cpp
+++ b/packages/gateway/test/settings_test.cpp
@@ -53,6 +53,16 @@
   CHECK(hasErrorContaining("revocation_ms"));
 }
 
+// Guards against second attempts that no operator has asked for.
+TEST_CASE_METHOD(SettingsFixture, "settings_hedging_is_off_unless_set") {
+  CHECK(parseGatewaySettings(ValidSettings.dump()).Value->Hedging.Budget == 0);
+  ValidSettings["hedging"] = {{"budget", 0.02}};
+  CHECK(parseGatewaySettings(ValidSettings.dump()).Value->Hedging.Budget ==
+        0.02);
+  ValidSettings["hedging"] = {{"budget", 2}};
+  CHECK(hasErrorContaining("/hedging/budget"));
+}
+
 TEST_CASE_METHOD(SettingsFixture, "settings_short_key_is_rejected") {
   ValidSettings["curve"] = {{"public", "abc"}, {"secret", "def"}};
   CHECK(hasErrorContaining("curve"));
--- a/packages/process/src/metrics.cpp
+++ b/packages/process/src/metrics.cpp
@@ -57,6 +57,8 @@
         PlaceWaits(registerCounter(*Registry, "nutmegsill_place_waits_total",
                                    "Requests that waited for a place at a "
                                    "target")),
+        Hedges(registerCounter(*Registry, "nutmegsill_hedges_total",
+                               "Second attempts beside slow first ones")),
         RequestLatency(prometheus::BuildHistogram()
                            .Name("nutmegsill_request_seconds")
                            .Help("Time to the end of callers' requests")
@@ -91,6 +93,7 @@
   Family<Counter> &FleetChanges;
   Counter &ListeningPauses;
   Family<Counter> &PlaceWaits;
+  Family<Counter> &Hedges;
   Family<Histogram> &RequestLatency;
   Family<Histogram> &FirstPartLatency;
   Family<Gauge> &StateAges;
@@ -164,6 +167,10 @@
   Impl->ListeningPauses.Increment(static_cast<double>(count));
 }
 
+void Metrics::countHedge(bool won) {
+  Impl->Hedges.Add({{"result", won ? "won" : "lost"}}).Increment();
+}
+
 void Metrics::countPlaceWait(const std::string &outcome) {
   Impl->PlaceWaits.Add({{"outcome", outcome}}).Increment();
 }
--- a/packages/process/src/metrics.h
+++ b/packages/process/src/metrics.h
@@ -36,6 +36,9 @@
   /// Counts the times that callers' connections were refused until the next
   /// probe for lack of processor time.
   void countListeningPauses(std::size_t count);
+  /// Counts a second attempt beside a slow first one; `won` if its response was
+  /// used.
+  void countHedge(bool won);
   /// Counts a request that waited for a place at a target, by how that ended.
   void countPlaceWait(const std::string &outcome);
 
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -42,6 +42,8 @@
   bool IsRetry = false;
   /// Set while the request waits for a place at a plain target.
   std::optional<PlaceTicket> Ticket;
+  /// The attempt starts beside another one of the same request.
+  bool IsHedge = false;
 };
 
 /// The target chosen for one attempt of a request.
--- a/packages/routing/include/nutmegsill/routing/request_lifecycle.h
+++ b/packages/routing/include/nutmegsill/routing/request_lifecycle.h
@@ -42,6 +42,10 @@
   /// none.
   bool reserveTarget(Dispatcher &dispatcher, const Assignment &present,
                      Time now);
+  /// Chooses the target of a second attempt beside `present`; nothing if there
+  /// may be none.
+  std::optional<Assignment> chooseHedge(Dispatcher &dispatcher,
+                                        const Assignment &present, Time now);
   /// Gives up a reserved target.
   void releaseReserved(Dispatcher &dispatcher, Time now);
   /// Records that part of the response has arrived.
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -240,7 +240,11 @@
     }
     const bool stalled =
         it->RunningRequests > 0 && now - it->LastProgressAt > StallTimeout;
-    (it->EjectedUntil > now || stalled ? fallback : available).push_back(it);
+    const bool avoided = it->EjectedUntil > now || stalled;
+    if (request.IsHedge && (avoided || it->Known.ColdUntil > now)) {
+      continue;
+    }
+    (avoided ? fallback : available).push_back(it);
   }
   return available.empty() ? fallback : available;
 }
--- a/packages/routing/src/request_lifecycle.cpp
+++ b/packages/routing/src/request_lifecycle.cpp
@@ -89,6 +89,27 @@
   return Reserved.has_value();
 }
 
+std::optional<Assignment>
+RequestLifecycle::chooseHedge(Dispatcher &dispatcher, const Assignment &present,
+                              Time now) {
+  const bool allowed =
+      Request.Route->Semantics == ExecutionSemantics::Idempotent && !Reserved &&
+      SentAttempts + 2 <= Request.Route->MaxAttempts &&
+      remainingTime(now) > Duration{0} && dispatcher.mayRepeat(Request, now);
+  if (!allowed) {
+    return std::nullopt;
+  }
+  DispatchRequest next = Request;
+  next.ElapsedTime = now - ArrivedAt;
+  next.RemainingTime = remainingTime(now);
+  next.AttemptedTargets.push_back(present.Target);
+  next.IsRetry = true;
+  next.IsHedge = true;
+  DispatchDecision decision = dispatcher.chooseTarget(next, now);
+  const Assignment *it = std::get_if<Assignment>(&decision);
+  return it == nullptr ? std::nullopt : std::optional(*it);
+}
+
 void RequestLifecycle::releaseReserved(Dispatcher &dispatcher, Time now) {
   if (Reserved) {
     dispatcher.recordResult(*Reserved, ExchangeResult::Cancelled, now);
--- a/packages/routing/src/service_choice.cpp
+++ b/packages/routing/src/service_choice.cpp
@@ -85,6 +85,9 @@
     TargetState *it = eligible[(i + RotationOffset) % eligible.size()];
     const std::uint32_t running =
         it->RunningRequests + it->PeerLoad.RunningRequests;
+    if (request.IsHedge && running >= it->Known.Entry.Slots) {
+      continue;
+    }
     const double load = static_cast<double>(running) * 6.0 /
                         std::max(1U, it->Known.Entry.Slots);
     const double score =
@@ -92,6 +95,9 @@
         (it->Known.Entry.Zone == OwnZone ? 0.0 : CrossZonePenalty);
     ranked.emplace_back(score, it);
   }
+  if (ranked.empty()) {
+    return Rejection{};
+  }
   std::stable_sort(
       ranked.begin(), ranked.end(),
       [](const auto &a, const auto &b) { return a.first < b.first; });
--- a/packages/routing/test/request_lifecycle_test.cpp
+++ b/packages/routing/test/request_lifecycle_test.cpp
@@ -133,6 +133,35 @@
   }
 };
 
+// Guards against second attempts at cold targets, at the target of the first,
+// or beyond `attempts` and the retry budget.
+TEST_CASE_METHOD(ReservedTargetFixture,
+                 "request_lifecycle_hedge_goes_to_another_warm_target") {
+  std::shared_ptr<FleetView> view = std::make_shared<FleetView>();
+  view->Config = Config;
+  view->Targets.push_back(KnownTarget{target("d-1", "desk"), {}, false});
+  view->Targets.push_back(KnownTarget{target("d-2", "desk"), at(9'000), false});
+  view->Targets.push_back(KnownTarget{target("d-3", "desk"), {}, true});
+  view->Routers.push_back(router("host-1"));
+  TestedDispatcher.setView(view, at(0));
+  RequestLifecycle lifecycle = start();
+  DispatchDecision first = lifecycle.chooseTarget(TestedDispatcher, at(1));
+  Assignment present = std::get<Assignment>(first);
+  present.Target = TargetId{"d-1"};
+  CHECK_FALSE(lifecycle.chooseHedge(TestedDispatcher, present, at(2)));
+  setStartTime(1);
+  const std::optional<Assignment> hedge =
+      lifecycle.chooseHedge(TestedDispatcher, present, at(3));
+  REQUIRE(hedge);
+  CHECK(hedge->Target != present.Target);
+  for (int i = 0; i < 7; ++i) {
+    CHECK(lifecycle.chooseHedge(TestedDispatcher, present, at(4)));
+  }
+  CHECK_FALSE(lifecycle.chooseHedge(TestedDispatcher, present, at(4)));
+  Config->Routes[1].MaxAttempts = 1;
+  CHECK_FALSE(lifecycle.chooseHedge(TestedDispatcher, present, at(20'000)));
+}
+
 TEST_CASE_METHOD(ReservedTargetFixture,
                  "request_lifecycle_reserved_target_is_the_next") {
   RequestLifecycle lifecycle = start();
--- a/packages/routing/test/service_load_test.cpp
+++ b/packages/routing/test/service_load_test.cpp
@@ -59,7 +59,7 @@
   ServiceLoad load;
   const TargetProcess process{TargetId{"d-1"}, 1};
   load.hear(process, Idle, true, at(0));
-  for (int i = 1; i <= 20; ++i) {
+  for (std::int64_t i = 1; i <= 20; ++i) {
     load.hear(process, Idle, true, at(i * 100));
   }
   load.hear(process, Full, true, at(2'010));
