--- a/packages/gateway/src/settings.h
+++ b/packages/gateway/src/settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "nutmegsill/http_client.h"
+#include "nutmegsill/routing/hedging.h"
 #include "nutmegsill/routing/retry_budget.h"
 #include "nutmegsill/routing/zone_homes.h"
 #include "peer_socket.h"
@@ -47,6 +48,8 @@
   std::optional<CurveKeys> Curve;
   routing::ZoneHomePolicy ZoneHomes;
   FleetBounds Bounds;
+  /// Off by default.
+  routing::HedgingPolicy Hedging;
 };
 
 /// Settings, or every error found as "PATH: expected FORM".
--- a/packages/process/src/metrics.cpp
+++ b/packages/process/src/metrics.cpp
@@ -65,6 +65,11 @@
         OfferedConnections(registerCounter(
             *Registry, "nutmegsill_offered_connections_total",
             "Connections that other hosts offered to hand over")),
+        PlaceWaits(registerCounter(*Registry, "nutmegsill_place_waits_total",
+                                   "Requests that waited for a place at a "
+                                   "target")),
+        Hedges(registerCounter(*Registry, "nutmegsill_hedges_total",
+                               "Second attempts beside slow first ones")),
         RequestLatency(prometheus::BuildHistogram()
                            .Name("nutmegsill_request_seconds")
                            .Help("Time to the end of callers' requests")
@@ -101,6 +106,8 @@
   Counter &RelayedConnections;
   Counter &RelayedBytes;
   Family<Counter> &OfferedConnections;
+  Family<Counter> &PlaceWaits;
+  Family<Counter> &Hedges;
   Family<Histogram> &RequestLatency;
   Family<Histogram> &FirstPartLatency;
   Family<Gauge> &StateAges;
@@ -183,4 +190,12 @@
   Impl->OfferedConnections.Add({{"result", result}}).Increment();
 }
 
+void Metrics::countHedge(bool won) {
+  Impl->Hedges.Add({{"result", won ? "won" : "lost"}}).Increment();
+}
+
+void Metrics::countPlaceWait(const std::string &outcome) {
+  Impl->PlaceWaits.Add({{"outcome", outcome}}).Increment();
+}
+
 } // namespace nutmegsill
--- a/packages/process/src/metrics.h
+++ b/packages/process/src/metrics.h
@@ -42,6 +42,11 @@
   /// Counts a connection that another host offered; `result` is "taken" or
   /// "refused".
   void countOfferedConnection(const std::string &result);
+  /// Counts a second attempt beside a slow first one; `won` if its response was
+  /// used.
+  void countHedge(bool won);
+  /// Counts a request that waited for a place at a target, by how that ended.
+  void countPlaceWait(const std::string &outcome);
 
 private:
   struct Implementation;
--- a/packages/routing/include/nutmegsill/routing/load_report.h
+++ b/packages/routing/include/nutmegsill/routing/load_report.h
@@ -3,6 +3,7 @@
 
 #include "nutmegsill/routing/crash_quarantine.h"
 #include "nutmegsill/routing/handover.h"
+#include "nutmegsill/routing/service_load.h"
 #include "nutmegsill/routing/target_statements.h"
 #include "nutmegsill/routing/team_share.h"
 #include "nutmegsill/types.h"
@@ -61,11 +62,13 @@
   std::vector<StatementReport> Statements;
   /// Of the routers in the sum that take connections over.
   std::vector<SpareCapacity> Spare;
+  /// Stated loads that were heard since the last report.
+  std::vector<TargetStateReport> TargetStates;
 
   /// Whether there is nothing to tell of targets, teams, crashes and limits.
   bool isEmpty() const {
     return Targets.empty() && Teams.empty() && Quarantine.isEmpty() &&
-           Statements.empty();
+           Statements.empty() && TargetStates.empty();
   }
 };
 
--- a/packages/routing/include/nutmegsill/routing/request_lifecycle.h
+++ b/packages/routing/include/nutmegsill/routing/request_lifecycle.h
@@ -33,10 +33,19 @@
   /// Chooses the target of the next attempt, or returns why there is none. A
   /// reserved one is taken.
   DispatchDecision chooseTarget(Dispatcher &dispatcher, Time now);
+  /// Lets a request that was not sent wait for a place; returns for how long, 0
+  /// if it may not. Call `endWait` in the end.
+  Duration beginWait(Dispatcher &dispatcher, Time now);
+  /// Returns whether the request was waiting.
+  bool endWait(Dispatcher &dispatcher);
   /// Reserves a target for the attempt after the present one; false if there is
   /// none.
   bool reserveTarget(Dispatcher &dispatcher, const Assignment &present,
                      Time now);
+  /// Chooses the target of a second attempt beside `present`; nothing if there
+  /// may be none.
+  std::optional<Assignment> chooseHedge(Dispatcher &dispatcher,
+                                        const Assignment &present, Time now);
   /// Gives up a reserved target.
   void releaseReserved(Dispatcher &dispatcher, Time now);
   /// Records that part of the response has arrived.
@@ -80,6 +89,8 @@
   AttemptOutcome LastOutcome;
   std::optional<Rejection> LastRejection;
   std::optional<Assignment> Reserved;
+  /// Retry-After if all attempted targets refused the request.
+  Duration RefusedRetryAfter{0};
 };
 
 } // namespace nutmegsill::routing
--- a/packages/routing/src/request_lifecycle.cpp
+++ b/packages/routing/src/request_lifecycle.cpp
@@ -47,10 +47,33 @@
   DispatchDecision decision = dispatcher.chooseTarget(Request, now);
   if (const Rejection *it = std::get_if<Rejection>(&decision)) {
     LastRejection = *it;
+  } else {
+    endWait(dispatcher);
   }
   return decision;
 }
 
+Duration RequestLifecycle::beginWait(Dispatcher &dispatcher, Time now) {
+  if (!LastRejection || LastRejection->MayWait <= Duration{0}) {
+    return Duration{0};
+  }
+  if (!Request.Ticket) {
+    Request.Ticket = dispatcher.placeQueue().enter(
+        Request.Pool, Request.Team,
+        PlaceUrgency::of(*Request.Route, Request.ElapsedTime, now));
+  }
+  return Request.Ticket ? LastRejection->MayWait : Duration{0};
+}
+
+bool RequestLifecycle::endWait(Dispatcher &dispatcher) {
+  const bool waited = Request.Ticket.has_value();
+  if (waited) {
+    dispatcher.placeQueue().leave(Request.Pool, *Request.Ticket);
+    Request.Ticket.reset();
+  }
+  return waited;
+}
+
 bool RequestLifecycle::reserveTarget(Dispatcher &dispatcher,
                                      const Assignment &present, Time now) {
   DispatchRequest next = Request;
@@ -66,6 +89,27 @@
   return Reserved.has_value();
 }
 
+std::optional<Assignment>
+RequestLifecycle::chooseHedge(Dispatcher &dispatcher, const Assignment &present,
+                              Time now) {
+  const bool allowed =
+      Request.Route->Semantics == ExecutionSemantics::Idempotent && !Reserved &&
+      SentAttempts + 2 <= Request.Route->MaxAttempts &&
+      remainingTime(now) > Duration{0} && dispatcher.mayRepeat(Request, now);
+  if (!allowed) {
+    return std::nullopt;
+  }
+  DispatchRequest next = Request;
+  next.ElapsedTime = now - ArrivedAt;
+  next.RemainingTime = remainingTime(now);
+  next.AttemptedTargets.push_back(present.Target);
+  next.IsRetry = true;
+  next.IsHedge = true;
+  DispatchDecision decision = dispatcher.chooseTarget(next, now);
+  const Assignment *it = std::get_if<Assignment>(&decision);
+  return it == nullptr ? std::nullopt : std::optional(*it);
+}
+
 void RequestLifecycle::releaseReserved(Dispatcher &dispatcher, Time now) {
   if (Reserved) {
     dispatcher.recordResult(*Reserved, ExchangeResult::Cancelled, now);
@@ -117,6 +161,10 @@
   }
   ++SentAttempts;
   MayHaveRun = MayHaveRun || outcome.Result != ExchangeResult::Refused;
+  if (outcome.Result == ExchangeResult::Refused) {
+    RefusedRetryAfter =
+        dispatcher.placeRetryAfter(Request, NotRunRetryAfter, now);
+  }
   Request.IsRetry = true;
   return mayRetry(dispatcher, outcome, now);
 }
@@ -173,7 +221,7 @@
   }
   if (!MayHaveRun) {
     return {503, "target_refused: " + LastOutcome.Reason + then,
-            NotRunRetryAfter};
+            RefusedRetryAfter};
   }
   const bool late = LastOutcome.Result == ExchangeResult::TimedOut;
   return {late ? 504U : 502U, LastOutcome.Reason + then, std::nullopt};
