Divide one capacity of the fleet among teams

Cause: each router took fair shares of a capacity that it estimated from the first events that it had seen itself. Estimates differed by a factor of three. Change: observed prefill tokens and seconds, and the sizes of requests, travel in load reports as sums that lose their weight with time. Every router derives the same capacity from them and from the engines that take requests. A report replaces earlier ones that include one of its routers. Every router takes the same fraction of a team's requests into its share; what is beyond waits for a fraction of the pool's shortest objective.

--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -85,6 +85,15 @@
     entry->set_sent(it.Sent);
     entry->set_leaving(it.Leaving);
   }
+  for (const routing::PoolService &it : report.PoolServices) {
+    wire::PoolService *entry = out.add_pool_service();
+    entry->set_pool(it.Pool.Text);
+    entry->set_tokens(static_cast<float>(it.Prefill.Tokens));
+    entry->set_seconds(static_cast<float>(it.Prefill.Seconds));
+    entry->set_requests(static_cast<float>(it.Requests));
+    entry->set_rated_tokens(static_cast<float>(it.RatedTokens));
+    entry->set_engines(it.Engines);
+  }
 }
 
 void encode(const routing::RelayedChanges &changes,
@@ -207,6 +216,17 @@
          it.sent(),
          it.leaving()});
   }
+  for (const wire::PoolService &it : in.pool_service()) {
+    if (!isRate(it.tokens()) || !isRate(it.seconds()) ||
+        !isRate(it.requests()) || !isRate(it.rated_tokens())) {
+      return std::nullopt;
+    }
+    report.PoolServices.push_back({PoolId{it.pool()},
+                                   {it.tokens(), it.seconds()},
+                                   it.requests(),
+                                   it.rated_tokens(),
+                                   it.engines()});
+  }
   return report;
 }
 
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "nutmegsill/routing/crash_quarantine.h"
+#include "nutmegsill/routing/fleet_capacity.h"
 #include "nutmegsill/routing/load_report.h"
 #include "nutmegsill/routing/model.h"
 #include "nutmegsill/routing/peer_loads.h"
@@ -152,8 +153,8 @@
   /// Fraction of the objective that the expected time may reach. It is
   /// `MaxWaitFraction` for a team that uses at most `WaitRampStart` of its fair
   /// share, falls linearly to `MinWaitFraction` at `WaitRampEnd`, and beyond
-  /// that with the inverse of the usage, so that teams with a lower usage are
-  /// admitted first.
+  /// that with the inverse of the usage. Requests beyond the share of their
+  /// team wait for a fraction of the pool's shortest objective instead.
   double MaxWaitFraction = 0.9;
   double MinWaitFraction = 0.25;
   double WaitRampStart = 0.8;
@@ -162,6 +163,10 @@
   /// `WaitRampStart` of its fair share, and less by this power of its usage
   /// beyond that.
   double LimitShareExponent = 4;
+  /// Highest used share that shortens the wait of requests within the share of
+  /// their team. Teams that ask for more than there is were at 2 to 4 when all
+  /// of their requests waited by it (docs/incidents).
+  double MaxUsageWithinShare = 2.2;
   /// Queueing time allowed to a prompt whose own prefill takes most of the time
   /// that its team may wait, as a fraction of that time.
   double LargePromptWaitFraction = 0.25;
@@ -281,7 +286,6 @@
   struct PoolState {
     /// Pointers into `Dispatcher::Targets`.
     std::vector<TargetState *> Targets;
-    PrefillRate ObservedRate;
     /// Prompt tokens per second that an engine is expected to prefill.
     double ExpectedRate = 0;
     /// Prefill backlog of the engines relative to
@@ -356,7 +360,10 @@
                                 const FairShare &share, Time now);
   /// Maximum expected time to the first event at which a request is still sent.
   Duration waitLimit(const DispatchRequest &request,
-                     const EngineCandidate &engine, double usage) const;
+                     const EngineCandidate &engine,
+                     const FairShare &share) const;
+  /// The shortest objective of the routes to the pool of `request`.
+  Duration shortestObjective(const DispatchRequest &request) const;
   /// Ratio of the team's served rate to its fair share, over the whole fleet.
   FairShare fairShare(const DispatchRequest &request, Time now);
   /// Returns a random sample of `eligible`, and `preferred` if it is eligible,
@@ -375,9 +382,13 @@
   const TargetId *preferredTarget(const PromptDescription &prompt,
                                   const PoolId &pool) const;
   void updatePools();
-  void updateMaxEngineCount();
-  /// Prompt tokens per second that one engine prefills by the configuration.
-  double configuredPrefillRate() const;
+  /// Tells `Capacity` of the engines in the view.
+  void updateEngines();
+  /// Computes the capacity of the fleet from the state of its engines.
+  void updateCapacity(Time now);
+  /// Fraction of its rated throughput that an engine may be sent.
+  double openFraction(const TargetState &state, const PoolRule &pool,
+                      Time now) const;
   /// Learns from the time that the first event of a request took.
   void recordFirstEvent(TargetState &state, const Assignment &assignment,
                         Time now);
@@ -393,8 +404,7 @@
   std::map<TargetId, TargetState> Targets;
   std::map<PoolId, PoolState> Pools;
   PeerLoads Peers;
-  /// Rated tokens per second that `Shares` divides.
-  double Capacity = 0;
+  FleetCapacity Capacity;
   /// Time when the peers' rates were last summed up for `Shares`.
   std::optional<Time> SharesUpdatedAt;
   PrefixCacheTracker Caches;
@@ -409,8 +419,6 @@
   SentPromptLog UnreportedGroupPrompts;
   std::uint64_t RotationOffset = 0;
   std::minstd_rand Random;
-  /// Maximum number of engines in any view so far.
-  std::size_t MaxEngineCount = 0;
 };
 
 } // namespace nutmegsill::routing
--- a/packages/routing/include/nutmegsill/routing/load_report.h
+++ b/packages/routing/include/nutmegsill/routing/load_report.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "nutmegsill/routing/crash_quarantine.h"
+#include "nutmegsill/routing/fleet_capacity.h"
 #include "nutmegsill/routing/target_statements.h"
 #include "nutmegsill/routing/team_share.h"
 #include "nutmegsill/types.h"
@@ -58,11 +59,14 @@
   std::vector<HostId> OverloadedHosts;
   QuarantineReport Quarantine;
   std::vector<StatementReport> Statements;
+  /// What was observed of the engines of each pool.
+  std::vector<PoolService> PoolServices;
 
-  /// Whether there is nothing to tell of targets, teams, crashes and limits.
+  /// Whether there is nothing to tell of targets, teams, crashes, limits and
+  /// engines.
   bool isEmpty() const {
     return Targets.empty() && Teams.empty() && Quarantine.isEmpty() &&
-           Statements.empty();
+           Statements.empty() && PoolServices.empty();
   }
 };
 
--- a/packages/routing/include/nutmegsill/routing/prefill_rate.h
+++ b/packages/routing/include/nutmegsill/routing/prefill_rate.h
@@ -16,6 +16,12 @@
   Duration PriorTime = milliseconds(400);
 };
 
+/// Prompt tokens that engines worked off, and the time that they took.
+struct PrefillSums {
+  double Tokens = 0;
+  double Seconds = 0;
+};
+
 /// The rate of one engine, or of all engines of a pool. Not thread-safe.
 class PrefillRate {
 public:
@@ -26,13 +32,15 @@
   void record(double tokens, Duration elapsed, Time now);
   /// Tokens per second; `prior` without observations.
   double rate(double prior, Time now) const;
+  /// The observations, with the weight that they have now.
+  PrefillSums sums(Time now) const;
+  /// Weight that observations have after `age`.
+  static double keptFraction(Duration age,
+                             const PrefillRatePolicy &policy = {});
 
 private:
-  double decay(Time now) const;
-
   PrefillRatePolicy Policy;
-  double Tokens = 0;
-  double Seconds = 0;
+  PrefillSums Sums;
   Time UpdatedAt{};
 };
 
--- a/packages/routing/include/nutmegsill/routing/team_share.h
+++ b/packages/routing/include/nutmegsill/routing/team_share.h
@@ -6,6 +6,7 @@
 
 #include <limits>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace nutmegsill::routing {
@@ -31,6 +32,9 @@
   double Capacity = 0;
   /// Age of the oldest report that the figures come from.
   Duration Age{0};
+  /// The request is within the part of the team's requests that its share
+  /// amounts to.
+  bool WithinShare = true;
 };
 
 /// Compares the served rates of teams with their fair shares, over the whole
@@ -44,7 +48,7 @@
   /// Counts a request that was sent to a target.
   void recordServed(const TeamId &team, double tokens, Time now);
   /// Divides `capacity`, in rated tokens per second, among the demands of all
-  /// teams.
+  /// teams. Also divides what all teams are served, if that is more.
   void updateFairRate(double capacity, Time now);
   /// Returns the ratio of the team's served rate to the fair share as of the
   /// last update; 0 while all demands fit or if the capacity is 0.
@@ -52,6 +56,14 @@
   /// Fair share of a team as of the last update, in rated tokens per second;
   /// infinity while all demands fit.
   double fairRate() const { return FairRate; }
+  /// Takes a request of `tokens` rated tokens into the team's share, or not, so
+  /// that all routers together take in what the team gets if all that the
+  /// engines serve is divided by max-min fairness. Every router takes in the
+  /// same fraction of its requests of a team.
+  bool takeTurn(const TeamId &team, double tokens);
+  /// Fraction of the team's requests that its share amounts to, as of the last
+  /// update.
+  double shareFraction(const TeamId &team) const;
   /// Rates of the requests of this router only.
   std::map<TeamId, TeamRate> ownRates(Time now);
 
@@ -60,11 +72,21 @@
   struct Meters {
     Meter Requested{2};
     Meter Served{2};
+    /// Tokens of the share that requests have not used.
+    double Turns = 0;
   };
+  /// Rates of a router that has counted for less than the meters' time are
+  /// those of the time that it has counted.
+  double startFactor(Time now) const;
 
   std::map<TeamId, Meters> Teams;
   std::map<TeamId, TeamRate> Peers;
   double FairRate = std::numeric_limits<double>::infinity();
+  /// Rate per team if all that the engines serve is divided.
+  double ServedLevel = std::numeric_limits<double>::infinity();
+  /// Requested rates of all teams as of the last update.
+  std::map<TeamId, double> Requested;
+  std::optional<Time> StartedAt;
 };
 
 } // namespace nutmegsill::routing
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -19,8 +19,6 @@
 /// Time without progress after which a target with running requests is only
 /// used if there is no other.
 constexpr Duration StallTimeout = milliseconds(1'500);
-/// Fewest outstanding tokens from which a prefill rate is learned.
-constexpr double MinObservedTokens = 1'500;
 /// Bounds of the Retry-After of a request that was rejected as all targets are
 /// at their limits.
 constexpr Duration MinLimitRetryAfter = milliseconds(300);
@@ -93,7 +91,7 @@
   }
   Statements.setFleet(processes, View->Routers.size(), now);
   updatePools();
-  updateMaxEngineCount();
+  updateEngines();
   updateColdSenders();
   Recipients = routing::reportRecipients(View->Routers, Self);
   std::vector<HostId> routers;
@@ -124,7 +122,8 @@
     return out;
   }
   out.SummedUpAt = now;
-  out.ExpectedRate = out.ObservedRate.rate(configuredPrefillRate(), now);
+  Capacity.setPeers(Peers.poolServices(now), Peers.hasReports(now), now);
+  out.ExpectedRate = Capacity.prefillRate(pool, now);
   double tokens = 0;
   double recent = 0;
   double active = 0;
@@ -149,17 +148,6 @@
   return out;
 }
 
-void Dispatcher::updateMaxEngineCount() {
-  std::size_t engines = 0;
-  for (const auto &[id, state] : Targets) {
-    const PoolRule *pool = View->Config->findPool(state.Known.Entry.Pool);
-    engines += pool != nullptr && pool->Engine ? 1 : 0;
-  }
-  // The rated throughput is that of all engines, of which some may be absent
-  // from this view.
-  MaxEngineCount = std::max(MaxEngineCount, engines);
-}
-
 void Dispatcher::updateColdSenders() {
   // Other routers rarely have requests for the permits that they hold.
   const std::set<HostId> senders = preferredRouters(View->Routers);
@@ -379,18 +367,6 @@
   assignment.OutstandingTokens = 0;
 }
 
-void Dispatcher::recordFirstEvent(TargetState &state,
-                                  const Assignment &assignment, Time now) {
-  // Of a short prompt the time shows the decode steps in between, not the rate.
-  if (assignment.OutstandingTokens < MinObservedTokens) {
-    return;
-  }
-  const Duration elapsed = now - assignment.SentAt - Policy.FirstEventOverhead;
-  state.ObservedRate.record(assignment.OutstandingTokens, elapsed, now);
-  Pools[state.Known.Entry.Pool].ObservedRate.record(
-      assignment.OutstandingTokens, elapsed, now);
-}
-
 void Dispatcher::recordResult(Assignment &assignment, ExchangeResult result,
                               Time now) {
   TargetState *known = assignedTarget(assignment);
@@ -448,6 +424,7 @@
   Caches.expire(now);
   Peers.expire(now);
   Quarantine.update(now);
+  Capacity.recordActive(now);
   OutgoingReports out;
   out.Recipients = Recipients;
   for (const auto &[id, state] : Targets) {
@@ -462,8 +439,11 @@
     }
   }
   out.OwnReport.Statements = Statements.ownReport(now);
+  updateCapacity(now);
+  out.OwnReport.PoolServices = Capacity.ownReport(now);
   if (forRemotePeers) {
-    out.GroupReport = Peers.aggregateWith(out.OwnReport, Recipients.GroupPeers);
+    out.GroupReport =
+        Peers.aggregateWith(out.OwnReport, Recipients.GroupPeers, now);
     out.GroupReport.PromptsSent = UnreportedGroupPrompts.take();
     out.GroupReport.Quarantine = Quarantine.takeGroupReport(now);
     out.GroupReport.Statements = Statements.groupReport(
--- a/packages/routing/src/engine_choice.cpp
+++ b/packages/routing/src/engine_choice.cpp
@@ -1,5 +1,5 @@
 // The choice of a model engine. The other members of `Dispatcher` are in
-// dispatcher.cpp.
+// dispatcher.cpp and dispatcher_shares.cpp.
 #include "nutmegsill/rendezvous.h"
 #include "nutmegsill/routing/dispatcher.h"
 
@@ -12,12 +12,6 @@
 
 /// Added to the expected time of an engine whose batch is full.
 constexpr Duration FullBatchPenalty = milliseconds(500);
-/// Prefill tokens per rated token: the rated throughput is about half of the
-/// prefill rate (fleet sheets of both users).
-constexpr double PrefillTokensPerRatedToken = 2.0;
-/// Prefill rate of an engine, in tokens per second, if no rated throughput is
-/// configured: that of a large model on two accelerators.
-constexpr double DefaultPrefillRate = 30'000;
 /// Bounds of the Retry-After of a rejected request.
 constexpr Duration MinRetryAfter = milliseconds(300);
 constexpr Duration MaxRetryAfter = milliseconds(1'500);
@@ -28,34 +22,6 @@
 
 } // namespace
 
-double Dispatcher::configuredPrefillRate() const {
-  const double rated = View->Config->RatedTokensPerSecond;
-  if (rated <= 0 || MaxEngineCount == 0) {
-    return DefaultPrefillRate;
-  }
-  return PrefillTokensPerRatedToken * rated /
-         static_cast<double>(MaxEngineCount);
-}
-
-double Dispatcher::waitFraction(double usage) const {
-  if (usage > Policy.WaitRampEnd) {
-    // The inverse equalises the throughput of teams far over their shares.
-    return Policy.MinWaitFraction * Policy.WaitRampEnd / usage;
-  }
-  const double over =
-      std::clamp((usage - Policy.WaitRampStart) /
-                     (Policy.WaitRampEnd - Policy.WaitRampStart),
-                 0.0, 1.0);
-  return Policy.MaxWaitFraction -
-         over * (Policy.MaxWaitFraction - Policy.MinWaitFraction);
-}
-
-double Dispatcher::limitWeight(double usage) const {
-  return usage <= Policy.WaitRampStart ? 1.0
-                                       : std::pow(Policy.WaitRampStart / usage,
-                                                  Policy.LimitShareExponent);
-}
-
 const TargetId *Dispatcher::preferredTarget(const PromptDescription &prompt,
                                             const PoolId &pool) const {
   if (prompt.Parts.size() < 2) {
@@ -196,36 +162,6 @@
   return engines;
 }
 
-FairShare Dispatcher::fairShare(const DispatchRequest &request, Time now) {
-  if (!SharesUpdatedAt || now - *SharesUpdatedAt >= Policy.SummaryInterval) {
-    SharesUpdatedAt = now;
-    Shares.setPeerRates(Peers.teamRates());
-    // While engines are busy, they serve what their observed rate says.
-    const PoolState &pool = poolState(request.Pool, now);
-    const double slowness =
-        std::max(0.0, 1 - pool.ExpectedRate / configuredPrefillRate());
-    Capacity = View->Config->RatedTokensPerSecond *
-               (1 - pool.BacklogFraction * slowness);
-    Shares.updateFairRate(Capacity, now);
-  }
-  return {Shares.fairShareUsage(request.Team, now), Shares.fairRate(), Capacity,
-          Peers.oldestReportAge(now)};
-}
-
-Duration Dispatcher::waitLimit(const DispatchRequest &request,
-                               const EngineCandidate &engine,
-                               double usage) const {
-  const double maxWait =
-      toSeconds(request.Route->LatencyObjective) * waitFraction(usage);
-  const double ownPrefillTime =
-      static_cast<double>(request.Prompt.InputTokens - engine.CachedTokens) /
-      engine.Target->ExpectedRate;
-  // A prompt whose own prefill takes most of the objective is late even on an
-  // idle engine; it is still served where its queueing delay is short.
-  return fromSeconds(std::max(
-      maxWait, ownPrefillTime + maxWait * Policy.LargePromptWaitFraction));
-}
-
 DispatchDecision Dispatcher::chooseEngine(const DispatchRequest &request,
                                           Time now) {
   const PoolRule &pool = *View->Config->findPool(request.Pool);
@@ -249,7 +185,7 @@
                          Time now) {
   for (const EngineCandidate &it : ranked) {
     const Duration excessWait = request.ElapsedTime + it.ExpectedFirstEvent -
-                                waitLimit(request, it, share.Usage);
+                                waitLimit(request, it, share);
     if (excessWait > Duration{0}) {
       const Duration retryAfter = std::clamp<Duration>(
           excessWait + MinRetryAfter, MinRetryAfter, MaxRetryAfter);
@@ -277,6 +213,7 @@
   out.ExpectedFirstEvent = engine.ExpectedFirstEvent;
   out.Share = share;
   Shares.recordServed(request.Team, request.Prompt.ratedTokens(), now);
+  Capacity.recordSent(request.Pool, request.Prompt.ratedTokens(), now);
   engine.Target->PrefillTokens += out.PrefillTokens;
   engine.Target->RecentTokens += static_cast<double>(out.PrefillTokens);
   const SentPrompts update = Caches.recordOwnPrompt(out.Target, request.Prompt,
--- /dev/null
+++ b/packages/routing/src/fleet_capacity.cpp
@@ -0,0 +1,202 @@
+#include "nutmegsill/routing/fleet_capacity.h"
+
+#include <algorithm>
+
+namespace nutmegsill::routing {
+
+namespace {
+
+/// Prefill tokens per rated token: the rated throughput is about half of the
+/// prefill rate (fleet sheets of both users).
+constexpr double PrefillTokensPerRatedToken = 2.0;
+/// Prefill rate of an engine, in tokens per second, if no rated throughput is
+/// configured: that of a large model on two accelerators.
+constexpr double DefaultPrefillRate = 30'000;
+/// Requests whose mean size is known well enough.
+constexpr double MinSizedRequests = 1;
+/// Observations with less weight are not reported.
+constexpr double MinReportedRequests = 0.05;
+constexpr double MinReportedSeconds = 0.005;
+
+} // namespace
+
+void PoolServiceSums::add(const std::vector<PoolService> &observed,
+                          Duration age) {
+  const double kept = PrefillRate::keptFraction(age);
+  for (const PoolService &it : observed) {
+    PoolService &sum = Pools[it.Pool];
+    sum.Pool = it.Pool;
+    sum.Prefill.Tokens += it.Prefill.Tokens * kept;
+    sum.Prefill.Seconds += it.Prefill.Seconds * kept;
+    sum.Requests += it.Requests * kept;
+    sum.RatedTokens += it.RatedTokens * kept;
+    sum.Engines = std::max(sum.Engines, it.Engines);
+  }
+}
+
+std::vector<PoolService> PoolServiceSums::list() const {
+  std::vector<PoolService> out;
+  out.reserve(Pools.size());
+  for (const auto &[id, sum] : Pools) {
+    out.push_back(sum);
+  }
+  return out;
+}
+
+PoolService PoolServiceSums::of(const PoolId &pool) const {
+  const auto it = Pools.find(pool);
+  return it == Pools.end() ? PoolService{pool, {}, 0, 0, 0} : it->second;
+}
+
+void FleetCapacity::setEngines(const std::map<PoolId, std::uint32_t> &engines,
+                               double rated) {
+  if (rated != Rated) {
+    Rated = rated;
+    for (auto &[id, pool] : Pools) {
+      pool.Engines = 0;
+    }
+  }
+  // The rated throughput is that of all engines, of which some may be absent
+  // from this view.
+  for (const auto &[id, count] : engines) {
+    Pool &pool = Pools[id];
+    pool.Engines = std::max(pool.Engines, count);
+  }
+  setOutdated();
+}
+
+void FleetCapacity::recordActive(Time now) {
+  if (!LastActiveAt || now - *LastActiveAt > Policy.FreezeThreshold) {
+    AwakeSince = now;
+  }
+  LastActiveAt = now;
+}
+
+void FleetCapacity::recordFirstEvent(const PoolId &pool, double tokens,
+                                     Duration elapsed, Time sentAt, Time now) {
+  if (LastActiveAt) {
+    recordActive(now);
+    // The time of a freeze is no time that engines took.
+    if (sentAt < *AwakeSince) {
+      return;
+    }
+  }
+  Pools[pool].Prefill.record(tokens, elapsed, now);
+}
+
+void FleetCapacity::recordSent(const PoolId &pool, double ratedTokens,
+                               Time now) {
+  Pools[pool].Sent.record(ratedTokens, std::chrono::seconds(1), now);
+}
+
+void FleetCapacity::setPeers(PoolServiceSums sums, bool heard, Time now) {
+  Peers = std::move(sums);
+  PeersHeard = heard;
+  PeersAt = now;
+}
+
+PoolService FleetCapacity::observed(const PoolId &id, const Pool &pool,
+                                    Time now) {
+  const PrefillSums sent = pool.Sent.sums(now);
+  return {id, pool.Prefill.sums(now), sent.Seconds, sent.Tokens, pool.Engines};
+}
+
+PoolService FleetCapacity::serviceOf(const PoolId &id, Time now) const {
+  PoolServiceSums sums;
+  sums.add({Peers.of(id)}, now - PeersAt);
+  const auto own = Pools.find(id);
+  if (own != Pools.end()) {
+    sums.add({observed(id, own->second, now)}, Duration{0});
+  }
+  return sums.of(id);
+}
+
+std::vector<PoolService> FleetCapacity::ownReport(Time now) const {
+  std::vector<PoolService> out;
+  for (const auto &[id, pool] : Pools) {
+    PoolService it = observed(id, pool, now);
+    if (it.Requests >= MinReportedRequests ||
+        it.Prefill.Seconds >= MinReportedSeconds) {
+      out.push_back(std::move(it));
+    }
+  }
+  return out;
+}
+
+std::uint32_t FleetCapacity::engineCount() const {
+  std::uint32_t count = 0;
+  for (const auto &[id, pool] : Pools) {
+    count += std::max(pool.Engines, Peers.of(id).Engines);
+  }
+  return count;
+}
+
+double FleetCapacity::configuredPrefillRate() const {
+  const std::uint32_t engines = engineCount();
+  return Rated <= 0 || engines == 0
+             ? DefaultPrefillRate
+             : PrefillTokensPerRatedToken * Rated / engines;
+}
+
+double FleetCapacity::prefillRate(const PoolId &pool, Time now) const {
+  const PoolService all = serviceOf(pool, now);
+  const double prior = configuredPrefillRate();
+  const double priorSeconds = toSeconds(Policy.PriorTimePerEngine) *
+                              std::max<std::uint32_t>(1, all.Engines);
+  return (all.Prefill.Tokens + prior * priorSeconds) /
+         (all.Prefill.Seconds + priorSeconds);
+}
+
+double FleetCapacity::engineFraction(const PoolId &pool,
+                                     double requestsPerSecond, Time now) const {
+  const PoolService all = serviceOf(pool, now);
+  if (all.Requests < MinSizedRequests || Rated <= 0) {
+    return 1;
+  }
+  const double size = all.RatedTokens / all.Requests;
+  const double perEngine = Rated / std::max<std::uint32_t>(1, engineCount());
+  return std::clamp(requestsPerSecond * size / perEngine, 0.0, 1.0);
+}
+
+bool FleetCapacity::isOutdated(Time now) const {
+  return !UpdatedAt || now - *UpdatedAt >= Policy.SampleInterval;
+}
+
+double FleetCapacity::serviceFraction(Pool &pool, Time now) const {
+  std::erase_if(pool.Samples, [this, now](const Sample &it) {
+    return now - it.At > Policy.SlownessWindow;
+  });
+  if (pool.Samples.empty()) {
+    return 1;
+  }
+  double slowness = 1;
+  double backlog = 0;
+  for (const Sample &it : pool.Samples) {
+    slowness = std::min(slowness, it.Slowness);
+    backlog += it.Backlog;
+  }
+  backlog /= static_cast<double>(pool.Samples.size());
+  return 1 - backlog * slowness;
+}
+
+void FleetCapacity::update(const std::map<PoolId, PoolUse> &pools, Time now) {
+  UpdatedAt = now;
+  const double configured = configuredPrefillRate();
+  // Until the peers' sums are known, requests take longer than the known load
+  // explains.
+  const bool knowsLoad =
+      PeersHeard || !AwakeSince || now - *AwakeSince > Policy.SlownessWindow;
+  double engines = 0;
+  for (const auto &[id, use] : pools) {
+    Pool &pool = Pools[id];
+    if (knowsLoad) {
+      const double slowness = 1 - prefillRate(id, now) / configured;
+      pool.Samples.push_back(
+          {now, use.BacklogFraction, std::clamp(slowness, 0.0, 1.0)});
+    }
+    engines += use.OpenEngines * serviceFraction(pool, now);
+  }
+  Capacity = Rated * engines / std::max<std::uint32_t>(1, engineCount());
+}
+
+} // namespace nutmegsill::routing
--- a/packages/routing/src/peer_loads.cpp
+++ b/packages/routing/src/peer_loads.cpp
@@ -1,6 +1,7 @@
 #include "nutmegsill/routing/peer_loads.h"
 
 #include <algorithm>
+#include <set>
 
 namespace nutmegsill::routing {
 
@@ -12,6 +13,12 @@
   if (old != Reports.end()) {
     subtract(old->second.Report);
   }
+  // The reports in use have no router in common; that changes only with the
+  // routers that one of them includes.
+  if (old == Reports.end() ||
+      old->second.Report.IncludedHosts != report.IncludedHosts) {
+    dropOverlapping(peer, report);
+  }
   for (const TargetLoad &it : report.Targets) {
     TotalLoad &sum = TargetTotals[it.Target];
     sum.PrefillTokens += it.PrefillTokens;
@@ -20,6 +27,28 @@
   Reports[peer] = ReceivedReport{std::move(report), now};
 }
 
+void PeerLoads::dropOverlapping(const HostId &peer, const LoadReport &report) {
+  std::set<HostId> included(report.IncludedHosts.begin(),
+                            report.IncludedHosts.end());
+  included.insert(peer);
+  for (auto it = Reports.begin(); it != Reports.end();) {
+    const auto &[host, received] = *it;
+    const std::vector<HostId> &others = received.Report.IncludedHosts;
+    const bool overlaps =
+        host != peer &&
+        (included.count(host) != 0 ||
+         std::any_of(others.begin(), others.end(), [&](const HostId &other) {
+           return included.count(other) != 0;
+         }));
+    if (!overlaps) {
+      ++it;
+      continue;
+    }
+    subtract(received.Report);
+    it = Reports.erase(it);
+  }
+}
+
 void PeerLoads::subtract(const LoadReport &report) {
   for (const TargetLoad &it : report.Targets) {
     const auto sum = TargetTotals.find(it.Target);
@@ -36,7 +65,7 @@
 
 void PeerLoads::expire(Time now) {
   for (auto it = Reports.begin(); it != Reports.end();) {
-    if (now - it->second.ReceivedAt <= MaxReportAge) {
+    if (isCurrent(it->second, now)) {
       ++it;
       continue;
     }
@@ -61,6 +90,21 @@
   return out;
 }
 
+PoolServiceSums PeerLoads::poolServices(Time now) const {
+  PoolServiceSums out;
+  for (const auto &[peer, received] : Reports) {
+    if (isCurrent(received, now)) {
+      out.add(received.Report.PoolServices, now - received.ReceivedAt);
+    }
+  }
+  return out;
+}
+
+bool PeerLoads::hasReports(Time now) const {
+  return std::any_of(Reports.begin(), Reports.end(),
+                     [&](const auto &it) { return isCurrent(it.second, now); });
+}
+
 Duration PeerLoads::oldestReportAge(Time now) const {
   Duration out{0};
   for (const auto &[peer, received] : Reports) {
@@ -70,7 +114,8 @@
 }
 
 LoadReport PeerLoads::aggregateWith(LoadReport own,
-                                    const std::vector<HostId> &peers) const {
+                                    const std::vector<HostId> &peers,
+                                    Time now) const {
   std::map<TargetId, TargetLoad> targets;
   std::map<TeamId, TeamRate> teams;
   const auto add = [&targets, &teams](const LoadReport &report) {
@@ -85,16 +130,20 @@
     }
   };
   add(own);
+  PoolServiceSums services;
+  services.add(own.PoolServices, Duration{0});
   for (const HostId &peer : peers) {
     const auto it = Reports.find(peer);
     if (it != Reports.end()) {
       add(it->second.Report);
+      services.add(it->second.Report.PoolServices, now - it->second.ReceivedAt);
       own.IncludedHosts.push_back(peer);
       own.OverloadedHosts.insert(own.OverloadedHosts.end(),
                                  it->second.Report.OverloadedHosts.begin(),
                                  it->second.Report.OverloadedHosts.end());
     }
   }
+  own.PoolServices = services.list();
   own.Targets.clear();
   for (auto &[id, load] : targets) {
     load.Target = id;
--- a/packages/routing/src/prefill_rate.cpp
+++ b/packages/routing/src/prefill_rate.cpp
@@ -5,23 +5,28 @@
 
 namespace nutmegsill::routing {
 
-double PrefillRate::decay(Time now) const {
-  const double age = std::max(0.0, toSeconds(now - UpdatedAt));
-  return std::exp(-age / toSeconds(Policy.TimeConstant));
+double PrefillRate::keptFraction(Duration age,
+                                 const PrefillRatePolicy &policy) {
+  return std::exp(-std::max(0.0, toSeconds(age)) /
+                  toSeconds(policy.TimeConstant));
+}
+
+PrefillSums PrefillRate::sums(Time now) const {
+  const double kept = keptFraction(now - UpdatedAt, Policy);
+  return {Sums.Tokens * kept, Sums.Seconds * kept};
 }
 
 void PrefillRate::record(double tokens, Duration elapsed, Time now) {
-  const double kept = decay(now);
-  Tokens = Tokens * kept + tokens;
-  Seconds = Seconds * kept + std::max(0.0, toSeconds(elapsed));
+  Sums = sums(now);
+  Sums.Tokens += tokens;
+  Sums.Seconds += std::max(0.0, toSeconds(elapsed));
   UpdatedAt = now;
 }
 
 double PrefillRate::rate(double prior, Time now) const {
-  const double kept = decay(now);
+  const PrefillSums known = sums(now);
   const double priorSeconds = toSeconds(Policy.PriorTime);
-  return (Tokens * kept + prior * priorSeconds) /
-         (Seconds * kept + priorSeconds);
+  return (known.Tokens + prior * priorSeconds) / (known.Seconds + priorSeconds);
 }
 
 } // namespace nutmegsill::routing
--- a/packages/routing/src/team_share.cpp
+++ b/packages/routing/src/team_share.cpp
@@ -1,9 +1,22 @@
 #include "nutmegsill/routing/team_share.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace nutmegsill::routing {
 
+namespace {
+
+/// Time constant of the meters in `TeamShares::Meters`.
+constexpr double MeterSeconds = 2;
+/// Shortest time of which a rate is taken.
+constexpr double MinMeterSeconds = 0.25;
+/// What is divided, relative to what is served at present: the rest lets the
+/// sum grow.
+constexpr double ServedGrowth = 1.05;
+
+} // namespace
+
 double maxMinFairRate(std::vector<double> demands, double capacity) {
   std::sort(demands.begin(), demands.end());
   double left = capacity;
@@ -24,6 +37,7 @@
 }
 
 void TeamShares::recordRequested(const TeamId &team, double tokens, Time now) {
+  StartedAt = StartedAt.value_or(now);
   Teams[team].Requested.add(tokens, now);
 }
 
@@ -31,34 +45,73 @@
   Teams[team].Served.add(tokens, now);
 }
 
+double TeamShares::startFactor(Time now) const {
+  const double age = StartedAt ? toSeconds(now - *StartedAt) : 0;
+  return 1 / (1 - std::exp(-std::max(MinMeterSeconds, age) / MeterSeconds));
+}
+
 void TeamShares::updateFairRate(double capacity, Time now) {
   FairRate = std::numeric_limits<double>::infinity();
+  ServedLevel = FairRate;
   if (capacity <= 0) {
     return;
   }
   std::map<TeamId, TeamRate> all = Peers;
   for (const auto &[id, own] : ownRates(now)) {
     all[id].Requested += own.Requested;
+    all[id].Served += own.Served;
   }
+  Requested.clear();
   std::vector<double> demands;
   demands.reserve(all.size());
+  double served = 0;
   for (const auto &[id, rates] : all) {
     demands.push_back(rates.Requested);
+    Requested[id] = rates.Requested;
+    served += rates.Served;
+  }
+  FairRate = maxMinFairRate(demands, capacity);
+  ServedLevel = maxMinFairRate(std::move(demands),
+                               std::max(capacity, served * ServedGrowth));
+}
+
+double TeamShares::shareFraction(const TeamId &team) const {
+  const auto it = Requested.find(team);
+  return it == Requested.end() || it->second <= ServedLevel
+             ? 1
+             : ServedLevel / it->second;
+}
+
+bool TeamShares::takeTurn(const TeamId &team, double tokens) {
+  const double fraction = shareFraction(team);
+  double &turns = Teams[team].Turns;
+  if (fraction >= 1) {
+    turns = 0;
+    return true;
+  }
+  // Half of a request ahead: requests of different sizes are rounded, not
+  // delayed.
+  turns += fraction * tokens;
+  if (turns < tokens / 2) {
+    return false;
   }
-  FairRate = maxMinFairRate(std::move(demands), capacity);
+  turns -= tokens;
+  return true;
 }
 
 double TeamShares::fairShareUsage(const TeamId &team, Time now) {
   const auto peers = Peers.find(team);
   const double served = (peers == Peers.end() ? 0 : peers->second.Served) +
-                        Teams[team].Served.rate(now);
+                        Teams[team].Served.rate(now) * startFactor(now);
   return served / std::max(1.0, FairRate);
 }
 
 std::map<TeamId, TeamRate> TeamShares::ownRates(Time now) {
+  const double factor = startFactor(now);
   std::map<TeamId, TeamRate> rates;
   for (auto &[id, meters] : Teams) {
-    rates[id] = {meters.Requested.rate(now), meters.Served.rate(now)};
+    rates[id] = {meters.Requested.rate(now) * factor,
+                 meters.Served.rate(now) * factor};
   }
   return rates;
 }
--- a/packages/routing/test/reports_test.cpp
+++ b/packages/routing/test/reports_test.cpp
@@ -132,7 +132,7 @@
   LoadReport own = load("e-1", 1, 1);
   own.Teams = {{TeamId{"t"}, {1, 1}}};
   const LoadReport sum =
-      loads.aggregateWith(own, {HostId{"a"}, HostId{"silent"}});
+      loads.aggregateWith(own, {HostId{"a"}, HostId{"silent"}}, at(0));
   REQUIRE(sum.Targets.size() == 1);
   CHECK(sum.Targets[0].PrefillTokens == 101);
   CHECK(sum.Targets[0].RunningRequests == 3);
