Divide what engines serve among teams beyond their shares

Cause: beyond a used share of 2.8 the time that requests may wait fell with its inverse and was a fraction of each route's own objective, so that teams far over their shares differed by the ratio of their objectives. Change: routers take the fraction of a team's requests that its max-min share of what all teams are served amounts to, corrected by the backlog of the engines. Requests of a team that asks for more wait for a fraction of the pool's shortest objective, those beyond the fraction as before.

--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -163,10 +163,11 @@
   /// `WaitRampStart` of its fair share, and less by this power of its usage
   /// beyond that.
   double LimitShareExponent = 4;
-  /// Highest used share that shortens the wait of requests within the share of
-  /// their team. Teams that ask for more than there is were at 2 to 4 when all
-  /// of their requests waited by it (docs/incidents).
-  double MaxUsageWithinShare = 2.2;
+  /// Highest used share by which the wait of requests within the share of
+  /// their team falls: to 0.65 of the objective. With 2.2 engines idle while
+  /// reports are late, with 1 their queues grow and more responses are late
+  /// (docs/design/fleet-capacity.md).
+  double MaxUsageWithinShare = 1.5;
   /// Queueing time allowed to a prompt whose own prefill takes most of the time
   /// that its team may wait, as a fraction of that time.
   double LargePromptWaitFraction = 0.25;
--- a/packages/routing/include/nutmegsill/routing/fleet_capacity.h
+++ b/packages/routing/include/nutmegsill/routing/fleet_capacity.h
@@ -56,6 +56,9 @@
   /// 0.72 s each where groups are largest; until then requests take longer than
   /// the known load explains.
   Duration SlownessWindow = std::chrono::seconds(1);
+  /// Time over which the backlog is averaged: reports show it at intervals of
+  /// up to 0.72 s.
+  Duration BacklogWindow = std::chrono::seconds(2);
   Duration SampleInterval = milliseconds(100);
   /// Time without a report of its own after which a router counts as having
   /// been frozen: more than the longest report interval, 0.72 s.
@@ -107,6 +110,8 @@
   void setOutdated() { UpdatedAt.reset(); }
   /// Rated tokens per second.
   double capacity() const { return Capacity; }
+  /// Mean backlog of the engines in the last window, from 0 to 1.
+  double backlog() const { return Backlog; }
 
   /// Observations of this router.
   std::vector<PoolService> ownReport(Time now) const;
@@ -128,8 +133,8 @@
   /// Observations of all routers.
   PoolService serviceOf(const PoolId &id, Time now) const;
   std::uint32_t engineCount() const;
-  /// Fraction of the rated throughput that busy engines serve.
-  double serviceFraction(Pool &pool, Time now) const;
+  /// Mean backlog of the window, and least slowness.
+  Sample summaryOf(Pool &pool, Time now) const;
 
   FleetCapacityPolicy Policy;
   std::map<PoolId, Pool> Pools;
@@ -138,6 +143,7 @@
   bool PeersHeard = false;
   double Rated = 0;
   double Capacity = 0;
+  double Backlog = 0;
   std::optional<Time> UpdatedAt;
   std::optional<Time> LastActiveAt;
   /// When the router started, or ran again after a freeze.
--- a/packages/routing/include/nutmegsill/routing/team_share.h
+++ b/packages/routing/include/nutmegsill/routing/team_share.h
@@ -32,9 +32,11 @@
   double Capacity = 0;
   /// Age of the oldest report that the figures come from.
   Duration Age{0};
-  /// The request is within the part of the team's requests that its share
+  /// Fraction of the team's requests that its share of what the engines serve
   /// amounts to.
-  bool WithinShare = true;
+  double AdmittedFraction = 1;
+  /// The request is within that fraction.
+  bool IsWithin = true;
 };
 
 /// Compares the served rates of teams with their fair shares, over the whole
@@ -48,8 +50,9 @@
   /// Counts a request that was sent to a target.
   void recordServed(const TeamId &team, double tokens, Time now);
   /// Divides `capacity`, in rated tokens per second, among the demands of all
-  /// teams. Also divides what all teams are served, if that is more.
-  void updateFairRate(double capacity, Time now);
+  /// teams. Also divides what all teams are served, if that is more, corrected
+  /// by the engines' backlog, from 0 to 1.
+  void updateFairRate(double capacity, double backlog, Time now);
   /// Returns the ratio of the team's served rate to the fair share as of the
   /// last update; 0 while all demands fit or if the capacity is 0.
   double fairShareUsage(const TeamId &team, Time now);
--- a/packages/routing/src/dispatcher_shares.cpp
+++ b/packages/routing/src/dispatcher_shares.cpp
@@ -88,14 +88,14 @@
     SharesUpdatedAt = now;
     Shares.setPeerRates(Peers.teamRates());
     updateCapacity(now);
-    Shares.updateFairRate(Capacity.capacity(), now);
+    Shares.updateFairRate(Capacity.capacity(), Capacity.backlog(), now);
   }
   FairShare out{Shares.fairShareUsage(request.Team, now), Shares.fairRate(),
                 Capacity.capacity(), Peers.oldestReportAge(now)};
+  out.AdmittedFraction = Shares.shareFraction(request.Team);
   // An attempt after the first belongs to a request that was admitted before.
-  out.WithinShare =
-      !request.AttemptedTargets.empty() ||
-      Shares.takeTurn(request.Team, request.Prompt.ratedTokens());
+  out.IsWithin = !request.AttemptedTargets.empty() ||
+                 Shares.takeTurn(request.Team, request.Prompt.ratedTokens());
   return out;
 }
 
@@ -115,11 +115,15 @@
 Duration Dispatcher::waitLimit(const DispatchRequest &request,
                                const EngineCandidate &engine,
                                const FairShare &share) const {
-  const double maxWait =
-      share.WithinShare
-          ? toSeconds(request.Route->LatencyObjective) *
-                waitFraction(std::min(share.Usage, Policy.MaxUsageWithinShare))
-          : toSeconds(shortestObjective(request)) * waitFraction(share.Usage);
+  const bool teamFits = share.AdmittedFraction >= 1;
+  // What a team gets beyond its share does not depend on its objectives.
+  const Duration objective =
+      teamFits ? request.Route->LatencyObjective : shortestObjective(request);
+  const double usage = teamFits ? std::min(share.Usage, Policy.WaitRampStart)
+                       : share.IsWithin
+                           ? std::min(share.Usage, Policy.MaxUsageWithinShare)
+                           : share.Usage;
+  const double maxWait = toSeconds(objective) * waitFraction(usage);
   const double ownPrefillTime =
       static_cast<double>(request.Prompt.InputTokens - engine.CachedTokens) /
       engine.Target->ExpectedRate;
--- a/packages/routing/src/fleet_capacity.cpp
+++ b/packages/routing/src/fleet_capacity.cpp
@@ -162,21 +162,23 @@
   return !UpdatedAt || now - *UpdatedAt >= Policy.SampleInterval;
 }
 
-double FleetCapacity::serviceFraction(Pool &pool, Time now) const {
+FleetCapacity::Sample FleetCapacity::summaryOf(Pool &pool, Time now) const {
   std::erase_if(pool.Samples, [this, now](const Sample &it) {
-    return now - it.At > Policy.SlownessWindow;
+    return now - it.At > Policy.BacklogWindow;
   });
+  Sample out;
   if (pool.Samples.empty()) {
-    return 1;
+    return out;
   }
-  double slowness = 1;
-  double backlog = 0;
+  out.Slowness = 1;
   for (const Sample &it : pool.Samples) {
-    slowness = std::min(slowness, it.Slowness);
-    backlog += it.Backlog;
+    if (now - it.At <= Policy.SlownessWindow) {
+      out.Slowness = std::min(out.Slowness, it.Slowness);
+    }
+    out.Backlog += it.Backlog;
   }
-  backlog /= static_cast<double>(pool.Samples.size());
-  return 1 - backlog * slowness;
+  out.Backlog /= static_cast<double>(pool.Samples.size());
+  return out;
 }
 
 void FleetCapacity::update(const std::map<PoolId, PoolUse> &pools, Time now) {
@@ -186,7 +188,9 @@
   // explains.
   const bool knowsLoad =
       PeersHeard || !AwakeSince || now - *AwakeSince > Policy.SlownessWindow;
-  double engines = 0;
+  double open = 0;
+  double serving = 0;
+  double backlog = 0;
   for (const auto &[id, use] : pools) {
     Pool &pool = Pools[id];
     if (knowsLoad) {
@@ -194,9 +198,13 @@
       pool.Samples.push_back(
           {now, use.BacklogFraction, std::clamp(slowness, 0.0, 1.0)});
     }
-    engines += use.OpenEngines * serviceFraction(pool, now);
+    const Sample recent = summaryOf(pool, now);
+    open += use.OpenEngines;
+    serving += use.OpenEngines * (1 - recent.Backlog * recent.Slowness);
+    backlog += use.OpenEngines * recent.Backlog;
   }
-  Capacity = Rated * engines / std::max<std::uint32_t>(1, engineCount());
+  Capacity = Rated * serving / std::max<std::uint32_t>(1, engineCount());
+  Backlog = open > 0 ? backlog / open : 0;
 }
 
 } // namespace nutmegsill::routing
--- a/packages/routing/src/team_share.cpp
+++ b/packages/routing/src/team_share.cpp
@@ -11,9 +11,11 @@
 constexpr double MeterSeconds = 2;
 /// Shortest time of which a rate is taken.
 constexpr double MinMeterSeconds = 0.25;
-/// What is divided, relative to what is served at present: the rest lets the
-/// sum grow.
-constexpr double ServedGrowth = 1.05;
+/// What is divided, relative to what is served at present, without and with a
+/// full backlog. The sum grows while engines have less than half of a full
+/// backlog, and shrinks otherwise: queues neither grow nor run empty.
+constexpr double IdleGrowth = 1.1;
+constexpr double BusyGrowth = 0.9;
 
 } // namespace
 
@@ -50,7 +52,7 @@
   return 1 / (1 - std::exp(-std::max(MinMeterSeconds, age) / MeterSeconds));
 }
 
-void TeamShares::updateFairRate(double capacity, Time now) {
+void TeamShares::updateFairRate(double capacity, double backlog, Time now) {
   FairRate = std::numeric_limits<double>::infinity();
   ServedLevel = FairRate;
   if (capacity <= 0) {
@@ -70,9 +72,10 @@
     Requested[id] = rates.Requested;
     served += rates.Served;
   }
+  const double growth = IdleGrowth - backlog * (IdleGrowth - BusyGrowth);
   FairRate = maxMinFairRate(demands, capacity);
-  ServedLevel = maxMinFairRate(std::move(demands),
-                               std::max(capacity, served * ServedGrowth));
+  ServedLevel =
+      maxMinFairRate(std::move(demands), std::max(capacity, served * growth));
 }
 
 double TeamShares::shareFraction(const TeamId &team) const {
--- a/packages/routing/test/shares_test.cpp
+++ b/packages/routing/test/shares_test.cpp
@@ -42,11 +42,11 @@
   TeamShares shares;
   const TeamId large{"large"};
   shares.recordRequested(large, 1'000, at(0));
-  shares.updateFairRate(10'000, at(0));
+  shares.updateFairRate(10'000, 0, at(0));
   CHECK(shares.fairShareUsage(large, at(0)) == Approx(0).margin(0.01));
   shares.setPeerRates(
       {{large, {100'000, 20'000}}, {TeamId{"small"}, {2'000, 2'000}}});
-  shares.updateFairRate(10'000, at(0));
+  shares.updateFairRate(10'000, 0, at(0));
   CHECK(shares.fairShareUsage(large, at(0)) == Approx(2.5).epsilon(0.01));
 }
 
