Count what routers observe once they know the load

Cause: a router that starts, or hears its peers again, sends requests to engines whose load it does not know, and takes their wait for slowness of the engines. Its own backlog of the last second differed from the others'. Change: observations count from 1.5 s after the first report on; until then the sums of the others do. Backlogs travel as sums too. Up to a fifth below the configured rate is no slowness.

--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -93,6 +93,8 @@
     entry->set_requests(static_cast<float>(it.Requests));
     entry->set_rated_tokens(static_cast<float>(it.RatedTokens));
     entry->set_engines(it.Engines);
+    entry->set_backlog_sum(static_cast<float>(it.BacklogSum));
+    entry->set_backlog_count(static_cast<float>(it.BacklogCount));
   }
 }
 
@@ -218,13 +220,16 @@
   }
   for (const wire::PoolService &it : in.pool_service()) {
     if (!isRate(it.tokens()) || !isRate(it.seconds()) ||
-        !isRate(it.requests()) || !isRate(it.rated_tokens())) {
+        !isRate(it.requests()) || !isRate(it.rated_tokens()) ||
+        !isRate(it.backlog_sum()) || !isRate(it.backlog_count())) {
       return std::nullopt;
     }
     report.PoolServices.push_back({PoolId{it.pool()},
                                    {it.tokens(), it.seconds()},
                                    it.requests(),
                                    it.rated_tokens(),
+                                   it.backlog_sum(),
+                                   it.backlog_count(),
                                    it.engines()});
   }
   return report;
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -134,6 +134,9 @@
   /// more, when recomputation displaces two to three times its own value.
   double BusyRecomputeCost = 1.2;
   Duration BusyBacklog = milliseconds(250);
+  /// Largest backlog that is told apart, relative to `BusyBacklog`: in the
+  /// second of the longest queue most requests are late.
+  double MaxBacklog = 4;
   /// Cost of an expected time that equals the objective; proportional to the
   /// expected time, so that it ranks the targets that meet the objective.
   double WaitCost = 0.15;
@@ -290,8 +293,8 @@
     /// Prompt tokens per second that an engine is expected to prefill.
     double ExpectedRate = 0;
     /// Prefill backlog of the engines relative to
-    /// `DispatchPolicy::BusyBacklog`, from 0 to 1.
-    double BacklogFraction = 0;
+    /// `DispatchPolicy::BusyBacklog`, up to `DispatchPolicy::MaxBacklog`.
+    double Backlog = 0;
     double MeanRecentTokens = 0;
     std::optional<Time> SummedUpAt;
     /// When the last request rejected for limits was told to return.
@@ -385,11 +388,14 @@
   void updatePools();
   /// Tells `Capacity` of the engines in the view.
   void updateEngines();
+  /// Tells `Capacity` what the other routers observe.
+  void hearPeers(Time now);
   /// Computes the capacity of the fleet from the state of its engines.
   void updateCapacity(Time now);
-  /// Fraction of its rated throughput that an engine may be sent.
+  /// Fraction of its rated throughput that an engine may be sent, if that is
+  /// `ratedRequests` per second.
   double openFraction(const TargetState &state, const PoolRule &pool,
-                      Time now) const;
+                      double ratedRequests, Time now) const;
   /// Learns from the time that the first event of a request took.
   void recordFirstEvent(TargetState &state, const Assignment &assignment,
                         Time now);
--- a/packages/routing/include/nutmegsill/routing/fleet_capacity.h
+++ b/packages/routing/include/nutmegsill/routing/fleet_capacity.h
@@ -15,7 +15,6 @@
 #include "nutmegsill/types.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -30,6 +29,9 @@
   /// Requests that were sent, and their rated tokens.
   double Requests = 0;
   double RatedTokens = 0;
+  /// Backlogs that the routers knew of at intervals, and their number.
+  double BacklogSum = 0;
+  double BacklogCount = 0;
   /// Most engines of the pool that one of the routers has seen at a time.
   std::uint32_t Engines = 0;
 };
@@ -51,14 +53,22 @@
   /// have worked at it. That of the prior of a single engine: below that, the
   /// fleet knows too little.
   Duration PriorTimePerEngine = milliseconds(400);
-  /// Engines count as slow only if they were slow for this time. Routers that
-  /// start hear of the load of all others within two report intervals, at most
-  /// 0.72 s each where groups are largest; until then requests take longer than
-  /// the known load explains.
-  Duration SlownessWindow = std::chrono::seconds(1);
-  /// Time over which the backlog is averaged: reports show it at intervals of
-  /// up to 0.72 s.
-  Duration BacklogWindow = std::chrono::seconds(2);
+  /// Fraction of the configured rate below which engines count as slow. Even of
+  /// engines at that rate routers see up to a fifth less, as requests wait for
+  /// what others have sent since their last reports.
+  double SlowRateFraction = 0.8;
+  /// Time after a router has begun to hear its peers in which it draws no
+  /// conclusions from their sums: the longest report interval.
+  Duration ReportTime = milliseconds(720);
+  /// Time after which a router that has begun to hear its peers knows what they
+  /// send to engines: the age at which reports expire. Requests sent earlier
+  /// may wait for load that it has not heard of, which is no slowness of
+  /// engines.
+  Duration SettleTime = milliseconds(1'500);
+  /// Time for which a router that has begun to hear its peers expects engines
+  /// to take as long as it sees itself: until its observations are in the sums
+  /// of the fleet.
+  Duration LocalRateTime = std::chrono::seconds(3);
   Duration SampleInterval = milliseconds(100);
   /// Time without a report of its own after which a router counts as having
   /// been frozen: more than the longest report interval, 0.72 s.
@@ -70,8 +80,8 @@
 public:
   /// What is known of the engines of one pool at the moment.
   struct PoolUse {
-    /// Prefill backlog, from 0 to 1.
-    double BacklogFraction = 0;
+    /// Prefill backlog; 1 is a full one.
+    double Backlog = 0;
     /// Engines that take requests; one that takes a part of the requests that
     /// it could serve counts as that part.
     double OpenEngines = 0;
@@ -90,18 +100,22 @@
                         Time sentAt, Time now);
   /// Records that a request was sent to an engine.
   void recordSent(const PoolId &pool, double ratedTokens, Time now);
+  /// Whether there are other routers, and whether they report.
+  enum class PeerContact { NoPeers, Silent, Reporting };
   /// Replaces the sums of the other routers, as of `now`.
-  void setPeers(PoolServiceSums sums, bool heard, Time now);
+  void setPeers(PoolServiceSums sums, PeerContact contact, Time now);
 
   /// Prompt tokens per second that one engine prefills by the configuration.
   double configuredPrefillRate() const;
   /// Prompt tokens per second that one engine of the pool prefills, as observed
   /// by all routers.
   double prefillRate(const PoolId &pool, Time now) const;
-  /// Fraction of an engine's rated throughput that a number of requests per
-  /// second amounts to, at most 1.
-  double engineFraction(const PoolId &pool, double requestsPerSecond,
-                        Time now) const;
+  /// The rate that this router expects; while it does not know the load of the
+  /// others, that of its own observations.
+  double expectedRate(const PoolId &pool, Time now) const;
+  /// Requests per second that one engine of the pool is rated for; infinity
+  /// while their size is unknown.
+  double ratedRequests(const PoolId &pool, Time now) const;
 
   /// Whether `update` is due.
   bool isOutdated(Time now) const;
@@ -110,44 +124,43 @@
   void setOutdated() { UpdatedAt.reset(); }
   /// Rated tokens per second.
   double capacity() const { return Capacity; }
-  /// Mean backlog of the engines in the last window, from 0 to 1.
+  /// Mean backlog of the engines that the routers knew of in the last seconds;
+  /// 1 is a full one.
   double backlog() const { return Backlog; }
 
   /// Observations of this router.
   std::vector<PoolService> ownReport(Time now) const;
 
 private:
-  struct Sample {
-    Time At{};
-    double Backlog = 0;
-    double Slowness = 0;
-  };
   struct Pool {
     PrefillRate Prefill;
+    /// All observations of this router, also those that may show load of which
+    /// it had not heard.
+    PrefillRate Local;
     /// Rated tokens as tokens, requests as seconds.
     PrefillRate Sent;
     std::uint32_t Engines = 0;
-    std::deque<Sample> Samples;
+    /// Backlogs as tokens, their number as seconds.
+    PrefillRate Backlogs;
   };
   static PoolService observed(const PoolId &id, const Pool &pool, Time now);
   /// Observations of all routers.
   PoolService serviceOf(const PoolId &id, Time now) const;
   std::uint32_t engineCount() const;
-  /// Mean backlog of the window, and least slowness.
-  Sample summaryOf(Pool &pool, Time now) const;
 
   FleetCapacityPolicy Policy;
   std::map<PoolId, Pool> Pools;
   PoolServiceSums Peers;
   Time PeersAt{};
-  bool PeersHeard = false;
+  PeerContact Contact = PeerContact::NoPeers;
   double Rated = 0;
   double Capacity = 0;
   double Backlog = 0;
   std::optional<Time> UpdatedAt;
   std::optional<Time> LastActiveAt;
-  /// When the router started, or ran again after a freeze.
-  std::optional<Time> AwakeSince;
+  /// When the router began to hear its peers, after its start, a freeze or a
+  /// time without reports.
+  std::optional<Time> HearsSince;
 };
 
 } // namespace nutmegsill::routing
--- a/packages/routing/include/nutmegsill/routing/peer_loads.h
+++ b/packages/routing/include/nutmegsill/routing/peer_loads.h
@@ -28,7 +28,8 @@
   /// What the other routers observed of the engines, with the weight that it
   /// has now.
   PoolServiceSums poolServices(Time now) const;
-  /// Whether any report is in use.
+  /// Whether there is a report that is not older than the longest interval
+  /// between reports, with the time that it may take.
   bool hasReports(Time now) const;
   /// Age of the oldest report in use; 0 without reports.
   Duration oldestReportAge(Time now) const;
--- a/packages/routing/include/nutmegsill/routing/team_share.h
+++ b/packages/routing/include/nutmegsill/routing/team_share.h
@@ -51,7 +51,7 @@
   void recordServed(const TeamId &team, double tokens, Time now);
   /// Divides `capacity`, in rated tokens per second, among the demands of all
   /// teams. Also divides what all teams are served, if that is more, corrected
-  /// by the engines' backlog, from 0 to 1.
+  /// by the engines' backlog; 1 is a full one.
   void updateFairRate(double capacity, double backlog, Time now);
   /// Returns the ratio of the team's served rate to the fair share as of the
   /// last update; 0 while all demands fit or if the capacity is 0.
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -122,8 +122,8 @@
     return out;
   }
   out.SummedUpAt = now;
-  Capacity.setPeers(Peers.poolServices(now), Peers.hasReports(now), now);
-  out.ExpectedRate = Capacity.prefillRate(pool, now);
+  hearPeers(now);
+  out.ExpectedRate = Capacity.expectedRate(pool, now);
   double tokens = 0;
   double recent = 0;
   double active = 0;
@@ -140,8 +140,8 @@
     }
   }
   const double wait = tokens / std::max(1.0, active) / out.ExpectedRate;
-  out.BacklogFraction =
-      std::clamp(wait / toSeconds(Policy.BusyBacklog), 0.0, 1.0);
+  out.Backlog =
+      std::clamp(wait / toSeconds(Policy.BusyBacklog), 0.0, Policy.MaxBacklog);
   out.MeanRecentTokens =
       recent /
       static_cast<double>(std::max<std::size_t>(1, out.Targets.size()));
--- a/packages/routing/src/dispatcher_shares.cpp
+++ b/packages/routing/src/dispatcher_shares.cpp
@@ -47,8 +47,16 @@
   Capacity.setEngines(engines, View->Config->RatedTokensPerSecond);
 }
 
+void Dispatcher::hearPeers(Time now) {
+  using Contact = FleetCapacity::PeerContact;
+  const Contact contact = Recipients.size() == 0  ? Contact::NoPeers
+                          : Peers.hasReports(now) ? Contact::Reporting
+                                                  : Contact::Silent;
+  Capacity.setPeers(Peers.poolServices(now), contact, now);
+}
+
 double Dispatcher::openFraction(const TargetState &state, const PoolRule &pool,
-                                Time now) const {
+                                double ratedRequests, Time now) const {
   const TargetProcess process = processOf(state);
   if (state.Known.Entry.Draining || state.Known.InEvacuatedZone ||
       !Statements.isOpen(process, now)) {
@@ -59,7 +67,10 @@
     const double cold = pool.ColdRequestRate * Policy.ColdRateFraction;
     rate = std::min(cold, rate.value_or(cold));
   }
-  return rate ? Capacity.engineFraction(pool.Pool, *rate, now) : 1;
+  // Without a size of requests a limit tells nothing.
+  return !rate || std::isinf(ratedRequests)
+             ? 1
+             : std::clamp(*rate / ratedRequests, 0.0, 1.0);
 }
 
 void Dispatcher::updateCapacity(Time now) {
@@ -73,9 +84,10 @@
     }
     const PoolState &pool = poolState(id, now);
     FleetCapacity::PoolUse &it = use[id];
-    it.BacklogFraction = pool.BacklogFraction;
+    it.Backlog = pool.Backlog;
+    const double rated = Capacity.ratedRequests(id, now);
     for (const TargetState *target : pool.Targets) {
-      it.OpenEngines += openFraction(*target, rule, now);
+      it.OpenEngines += openFraction(*target, rule, rated, now);
     }
   }
   Capacity.update(use, now);
--- a/packages/routing/src/engine_choice.cpp
+++ b/packages/routing/src/engine_choice.cpp
@@ -151,7 +151,7 @@
   for (const EngineCandidate &it : engines) {
     cachedAnywhere = std::max(cachedAnywhere, it.CachedTokens);
   }
-  const double backlog = poolState(request.Pool, now).BacklogFraction;
+  const double backlog = std::min(1.0, poolState(request.Pool, now).Backlog);
   for (EngineCandidate &it : engines) {
     it.Cost = candidateCost(it, request, preferred, cachedAnywhere, backlog);
   }
--- a/packages/routing/src/fleet_capacity.cpp
+++ b/packages/routing/src/fleet_capacity.cpp
@@ -1,6 +1,7 @@
 #include "nutmegsill/routing/fleet_capacity.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace nutmegsill::routing {
 
@@ -30,6 +31,8 @@
     sum.Prefill.Seconds += it.Prefill.Seconds * kept;
     sum.Requests += it.Requests * kept;
     sum.RatedTokens += it.RatedTokens * kept;
+    sum.BacklogSum += it.BacklogSum * kept;
+    sum.BacklogCount += it.BacklogCount * kept;
     sum.Engines = std::max(sum.Engines, it.Engines);
   }
 }
@@ -45,7 +48,7 @@
 
 PoolService PoolServiceSums::of(const PoolId &pool) const {
   const auto it = Pools.find(pool);
-  return it == Pools.end() ? PoolService{pool, {}, 0, 0, 0} : it->second;
+  return it == Pools.end() ? PoolService{pool} : it->second;
 }
 
 void FleetCapacity::setEngines(const std::map<PoolId, std::uint32_t> &engines,
@@ -66,8 +69,8 @@
 }
 
 void FleetCapacity::recordActive(Time now) {
-  if (!LastActiveAt || now - *LastActiveAt > Policy.FreezeThreshold) {
-    AwakeSince = now;
+  if (LastActiveAt && now - *LastActiveAt > Policy.FreezeThreshold) {
+    HearsSince = now;
   }
   LastActiveAt = now;
 }
@@ -76,12 +79,17 @@
                                      Duration elapsed, Time sentAt, Time now) {
   if (LastActiveAt) {
     recordActive(now);
-    // The time of a freeze is no time that engines took.
-    if (sentAt < *AwakeSince) {
-      return;
-    }
   }
-  Pools[pool].Prefill.record(tokens, elapsed, now);
+  Pool &state = Pools[pool];
+  // The time of a freeze is no time that engines took.
+  if (HearsSince && sentAt < *HearsSince) {
+    return;
+  }
+  state.Local.record(tokens, elapsed, now);
+  if (Contact != PeerContact::Reporting || !HearsSince ||
+      sentAt >= *HearsSince + Policy.SettleTime) {
+    state.Prefill.record(tokens, elapsed, now);
+  }
 }
 
 void FleetCapacity::recordSent(const PoolId &pool, double ratedTokens,
@@ -89,16 +97,27 @@
   Pools[pool].Sent.record(ratedTokens, std::chrono::seconds(1), now);
 }
 
-void FleetCapacity::setPeers(PoolServiceSums sums, bool heard, Time now) {
+void FleetCapacity::setPeers(PoolServiceSums sums, PeerContact contact,
+                             Time now) {
+  if (contact == PeerContact::Reporting && contact != Contact) {
+    HearsSince = now;
+    for (auto &[id, pool] : Pools) {
+      pool.Prefill = PrefillRate();
+      pool.Backlogs = PrefillRate();
+    }
+  }
   Peers = std::move(sums);
-  PeersHeard = heard;
+  Contact = contact;
   PeersAt = now;
 }
 
 PoolService FleetCapacity::observed(const PoolId &id, const Pool &pool,
                                     Time now) {
   const PrefillSums sent = pool.Sent.sums(now);
-  return {id, pool.Prefill.sums(now), sent.Seconds, sent.Tokens, pool.Engines};
+  const PrefillSums backlogs = pool.Backlogs.sums(now);
+  return {id,          pool.Prefill.sums(now), sent.Seconds,
+          sent.Tokens, backlogs.Tokens,        backlogs.Seconds,
+          pool.Engines};
 }
 
 PoolService FleetCapacity::serviceOf(const PoolId &id, Time now) const {
@@ -115,6 +134,12 @@
   std::vector<PoolService> out;
   for (const auto &[id, pool] : Pools) {
     PoolService it = observed(id, pool, now);
+    if (Contact == PeerContact::Silent) {
+      // They show load of which this router has not heard.
+      it.Prefill = {};
+      it.BacklogSum = 0;
+      it.BacklogCount = 0;
+    }
     if (it.Requests >= MinReportedRequests ||
         it.Prefill.Seconds >= MinReportedSeconds) {
       out.push_back(std::move(it));
@@ -147,61 +172,52 @@
          (all.Prefill.Seconds + priorSeconds);
 }
 
-double FleetCapacity::engineFraction(const PoolId &pool,
-                                     double requestsPerSecond, Time now) const {
+double FleetCapacity::expectedRate(const PoolId &pool, Time now) const {
+  const double all = prefillRate(pool, now);
+  const auto known = Pools.find(pool);
+  const bool isSettled = Contact == PeerContact::NoPeers ||
+                         (Contact == PeerContact::Reporting && HearsSince &&
+                          now - *HearsSince >= Policy.LocalRateTime);
+  return isSettled || known == Pools.end() ? all
+                                           : known->second.Local.rate(all, now);
+}
+
+double FleetCapacity::ratedRequests(const PoolId &pool, Time now) const {
   const PoolService all = serviceOf(pool, now);
-  if (all.Requests < MinSizedRequests || Rated <= 0) {
-    return 1;
+  if (all.Requests < MinSizedRequests || all.RatedTokens <= 0 || Rated <= 0) {
+    return std::numeric_limits<double>::infinity();
   }
-  const double size = all.RatedTokens / all.Requests;
   const double perEngine = Rated / std::max<std::uint32_t>(1, engineCount());
-  return std::clamp(requestsPerSecond * size / perEngine, 0.0, 1.0);
+  return perEngine * all.Requests / all.RatedTokens;
 }
 
 bool FleetCapacity::isOutdated(Time now) const {
   return !UpdatedAt || now - *UpdatedAt >= Policy.SampleInterval;
 }
 
-FleetCapacity::Sample FleetCapacity::summaryOf(Pool &pool, Time now) const {
-  std::erase_if(pool.Samples, [this, now](const Sample &it) {
-    return now - it.At > Policy.BacklogWindow;
-  });
-  Sample out;
-  if (pool.Samples.empty()) {
-    return out;
-  }
-  out.Slowness = 1;
-  for (const Sample &it : pool.Samples) {
-    if (now - it.At <= Policy.SlownessWindow) {
-      out.Slowness = std::min(out.Slowness, it.Slowness);
-    }
-    out.Backlog += it.Backlog;
-  }
-  out.Backlog /= static_cast<double>(pool.Samples.size());
-  return out;
-}
-
 void FleetCapacity::update(const std::map<PoolId, PoolUse> &pools, Time now) {
   UpdatedAt = now;
   const double configured = configuredPrefillRate();
-  // Until the peers' sums are known, requests take longer than the known load
-  // explains.
-  const bool knowsLoad =
-      PeersHeard || !AwakeSince || now - *AwakeSince > Policy.SlownessWindow;
+  const bool knowsSums = Contact != PeerContact::Reporting || !HearsSince ||
+                         now - *HearsSince >= Policy.ReportTime;
   double open = 0;
   double serving = 0;
   double backlog = 0;
   for (const auto &[id, use] : pools) {
     Pool &pool = Pools[id];
-    if (knowsLoad) {
-      const double slowness = 1 - prefillRate(id, now) / configured;
-      pool.Samples.push_back(
-          {now, use.BacklogFraction, std::clamp(slowness, 0.0, 1.0)});
+    double slowness = 0;
+    if (knowsSums) {
+      slowness = std::clamp(1 - prefillRate(id, now) /
+                                    (configured * Policy.SlowRateFraction),
+                            0.0, 1.0);
+      pool.Backlogs.record(use.Backlog, std::chrono::seconds(1), now);
     }
-    const Sample recent = summaryOf(pool, now);
+    const PoolService all = serviceOf(id, now);
+    const double mean =
+        all.BacklogCount > 0 ? all.BacklogSum / all.BacklogCount : 0;
     open += use.OpenEngines;
-    serving += use.OpenEngines * (1 - recent.Backlog * recent.Slowness);
-    backlog += use.OpenEngines * recent.Backlog;
+    serving += use.OpenEngines * (1 - std::min(1.0, mean) * slowness);
+    backlog += use.OpenEngines * mean;
   }
   Capacity = Rated * serving / std::max<std::uint32_t>(1, engineCount());
   Backlog = open > 0 ? backlog / open : 0;
--- a/packages/routing/src/peer_loads.cpp
+++ b/packages/routing/src/peer_loads.cpp
@@ -5,6 +5,13 @@
 
 namespace nutmegsill::routing {
 
+namespace {
+
+/// Routers report at least every 0.72 s (`reportIntervals`).
+constexpr Duration MaxReportSilence = std::chrono::seconds(1);
+
+} // namespace
+
 void PeerLoads::receiveReport(const HostId &peer, LoadReport report, Time now) {
   report.PromptsSent.clear();
   report.Quarantine = {};
--- a/packages/routing/src/team_share.cpp
+++ b/packages/routing/src/team_share.cpp
@@ -11,11 +11,12 @@
 constexpr double MeterSeconds = 2;
 /// Shortest time of which a rate is taken.
 constexpr double MinMeterSeconds = 0.25;
-/// What is divided, relative to what is served at present, without and with a
-/// full backlog. The sum grows while engines have less than half of a full
-/// backlog, and shrinks otherwise: queues neither grow nor run empty.
+/// What is divided, relative to what is served at present, without a backlog,
+/// and the loss with a full one. The sum grows while engines have less than
+/// half of a full backlog, and shrinks otherwise: queues neither grow nor run
+/// empty.
 constexpr double IdleGrowth = 1.1;
-constexpr double BusyGrowth = 0.9;
+constexpr double BacklogLoss = 0.2;
 
 } // namespace
 
@@ -72,7 +73,7 @@
     Requested[id] = rates.Requested;
     served += rates.Served;
   }
-  const double growth = IdleGrowth - backlog * (IdleGrowth - BusyGrowth);
+  const double growth = IdleGrowth - backlog * BacklogLoss;
   FairRate = maxMinFairRate(demands, capacity);
   ServedLevel =
       maxMinFairRate(std::move(demands), std::max(capacity, served * growth));
