Tell teams over their shares when they have a share again

Cause: the Retry-After of a rejected request followed the wait at the engines alone, also where the request was beyond the share of its team. Change: it is not earlier than the time at which the team's requests at this router have tokens of the share again. Changes of the capacity by a quarter are logged (capacity_changed). The test's partition has two sides.

--- a/packages/routing/include/nutmegsill/routing/fleet_capacity.h
+++ b/packages/routing/include/nutmegsill/routing/fleet_capacity.h
@@ -11,6 +11,7 @@
 /// what the rate shows to be lacking while engines have a backlog.
 #pragma once
 
+#include "nutmegsill/routing/fleet_change.h"
 #include "nutmegsill/routing/prefill_rate.h"
 #include "nutmegsill/types.h"
 
@@ -128,6 +129,8 @@
   /// 1 is a full one.
   double backlog() const { return Backlog; }
 
+  /// Returns and clears the changes for the log.
+  std::vector<FleetChange> takeChanges();
   /// Observations of this router.
   std::vector<PoolService> ownReport(Time now) const;
 
@@ -147,6 +150,7 @@
   /// Observations of all routers.
   PoolService serviceOf(const PoolId &id, Time now) const;
   std::uint32_t engineCount() const;
+  void recordChange(double openEngines, Time now);
 
   FleetCapacityPolicy Policy;
   std::map<PoolId, Pool> Pools;
@@ -157,6 +161,10 @@
   double Capacity = 0;
   double Backlog = 0;
   std::optional<Time> UpdatedAt;
+  /// What the last change for the log stated, and when.
+  double LoggedCapacity = 0;
+  Time LoggedAt{};
+  std::vector<FleetChange> Changes;
   std::optional<Time> LastActiveAt;
   /// When the router began to hear its peers, after its start, a freeze or a
   /// time without reports.
--- a/packages/routing/include/nutmegsill/routing/team_share.h
+++ b/packages/routing/include/nutmegsill/routing/team_share.h
@@ -37,6 +37,8 @@
   double AdmittedFraction = 1;
   /// The request is within that fraction.
   bool IsWithin = true;
+  /// Otherwise, the time after which it is expected to be.
+  Duration NextTurn{0};
 };
 
 /// Compares the served rates of teams with their fair shares, over the whole
@@ -67,6 +69,9 @@
   /// Fraction of the team's requests that its share amounts to, as of the last
   /// update.
   double shareFraction(const TeamId &team) const;
+  /// Time after which a request of `tokens` rated tokens is expected to be
+  /// within the share, if this router's requests of the team go on as now.
+  Duration nextTurn(const TeamId &team, double tokens, Time now);
   /// Rates of the requests of this router only.
   std::map<TeamId, TeamRate> ownRates(Time now);
 
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -417,6 +417,9 @@
   for (FleetChange &it : Statements.takeChanges()) {
     out.push_back(std::move(it));
   }
+  for (FleetChange &it : Capacity.takeChanges()) {
+    out.push_back(std::move(it));
+  }
   return out;
 }
 
--- a/packages/routing/src/dispatcher_shares.cpp
+++ b/packages/routing/src/dispatcher_shares.cpp
@@ -108,6 +108,10 @@
   // An attempt after the first belongs to a request that was admitted before.
   out.IsWithin = !request.AttemptedTargets.empty() ||
                  Shares.takeTurn(request.Team, request.Prompt.ratedTokens());
+  if (!out.IsWithin) {
+    out.NextTurn =
+        Shares.nextTurn(request.Team, request.Prompt.ratedTokens(), now);
+  }
   return out;
 }
 
--- a/packages/routing/src/engine_choice.cpp
+++ b/packages/routing/src/engine_choice.cpp
@@ -188,7 +188,8 @@
                                 waitLimit(request, it, share);
     if (excessWait > Duration{0}) {
       const Duration retryAfter = std::clamp<Duration>(
-          excessWait + MinRetryAfter, MinRetryAfter, MaxRetryAfter);
+          std::max(excessWait + MinRetryAfter, share.NextTurn), MinRetryAfter,
+          MaxRetryAfter);
       return Rejection{share.Usage < Policy.WaitRampStart
                            ? RejectionReason::Overloaded
                            : RejectionReason::TeamOverShare,
--- a/packages/routing/src/fleet_capacity.cpp
+++ b/packages/routing/src/fleet_capacity.cpp
@@ -18,6 +18,10 @@
 /// Observations with less weight are not reported.
 constexpr double MinReportedRequests = 0.05;
 constexpr double MinReportedSeconds = 0.005;
+/// Factor by which the capacity differs from the last one in the log before it
+/// is logged again, and the least time in between.
+constexpr double LoggedFactor = 1.25;
+constexpr Duration LogInterval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -221,6 +225,30 @@
   }
   Capacity = Rated * serving / std::max<std::uint32_t>(1, engineCount());
   Backlog = open > 0 ? backlog / open : 0;
+  recordChange(open, now);
+}
+
+void FleetCapacity::recordChange(double openEngines, Time now) {
+  const bool differs = Capacity > LoggedCapacity * LoggedFactor ||
+                       LoggedCapacity > Capacity * LoggedFactor;
+  if (!differs || now - LoggedAt < LogInterval) {
+    return;
+  }
+  Changes.push_back({"capacity_changed",
+                     {{"tokens_per_s", std::to_string(Capacity)},
+                      {"before", std::to_string(LoggedCapacity)},
+                      {"rated", std::to_string(Rated)},
+                      {"engines", std::to_string(engineCount())},
+                      {"open_engines", std::to_string(openEngines)},
+                      {"backlog", std::to_string(Backlog)}}});
+  LoggedCapacity = Capacity;
+  LoggedAt = now;
+}
+
+std::vector<FleetChange> FleetCapacity::takeChanges() {
+  std::vector<FleetChange> out;
+  out.swap(Changes);
+  return out;
 }
 
 } // namespace nutmegsill::routing
--- a/packages/routing/src/team_share.cpp
+++ b/packages/routing/src/team_share.cpp
@@ -103,6 +103,15 @@
   return true;
 }
 
+Duration TeamShares::nextTurn(const TeamId &team, double tokens, Time now) {
+  Meters &meters = Teams[team];
+  const double admitted =
+      meters.Requested.rate(now) * startFactor(now) * shareFraction(team);
+  const double lacking = std::max(0.0, tokens / 2 - meters.Turns);
+  return Duration(
+      static_cast<std::int64_t>(lacking / std::max(1.0, admitted) * 1e6));
+}
+
 double TeamShares::fairShareUsage(const TeamId &team, Time now) {
   const auto peers = Peers.find(team);
   const double served = (peers == Peers.end() ? 0 : peers->second.Served) +
--- a/packages/routing/test/capacity_fleet.h
+++ b/packages/routing/test/capacity_fleet.h
@@ -89,6 +89,7 @@
   void freeze(std::size_t router, Duration duration) {
     Frozen[router] = Now + duration;
   }
+  /// Routers that are cut off hear only each other.
   void cut(std::size_t router, Duration duration) {
     Cut[router] = Now + duration;
   }
@@ -248,7 +249,7 @@
             const LoadReport &report) {
     for (const HostId &it : peers) {
       const std::size_t to = std::stoul(it.Text.substr(5)) - 1'000;
-      if (Cut[from] > Now || Cut[to] > Now) {
+      if ((Cut[from] > Now) != (Cut[to] > Now)) {
         continue;
       }
       schedule(Now + seconds(0.001 + 0.02 * draw()), [this, from, to, report] {
--- a/packages/routing/test/shares_test.cpp
+++ b/packages/routing/test/shares_test.cpp
@@ -50,6 +50,27 @@
   CHECK(shares.fairShareUsage(large, at(0)) == Approx(2.5).epsilon(0.01));
 }
 
+// Guards against a Retry-After at which the team has no share again.
+TEST_CASE("team_shares_beyond_share_next_turn_is_when_it_has_tokens") {
+  TeamShares shares;
+  const TeamId large{"large"};
+  for (int ms = 0; ms < 4'000; ms += 10) {
+    shares.recordRequested(large, 1'000, at(ms));
+  }
+  shares.updateFairRate(10'000, 0, at(4'000));
+  CHECK(shares.shareFraction(large) == Approx(0.1).epsilon(0.02));
+  int within = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    within += shares.takeTurn(large, 1'000) ? 1 : 0;
+  }
+  CHECK(within == Approx(100).margin(3));
+  while (!shares.takeTurn(large, 1'000)) {
+  }
+  // A request each 10 ms, of which a tenth is within the share.
+  CHECK(shares.nextTurn(large, 1'000, at(4'000)) <= milliseconds(101));
+  CHECK(shares.nextTurn(large, 1'000, at(4'000)) >= milliseconds(80));
+}
+
 TEST_CASE("retry_budget_after_window_allows_retries_again") {
   RetryBudget budget({0.2, std::chrono::seconds(10), 10});
   const PoolId pool{"desk"};
