--- a/packages/gateway/test/peer_codec_test.cpp
+++ b/packages/gateway/test/peer_codec_test.cpp
@@ -110,6 +110,26 @@
   CHECK_FALSE(roundTrip(report));
 }
 
+TEST_CASE_METHOD(PeerCodecFixture, "peer_codec_pool_services_round_trip") {
+  routing::LoadReport report;
+  report.PoolServices = {{PoolId{"p"}, {1'500, 2.5}, 3, 4'000, 0.5, 8, 140}};
+  CHECK_FALSE(report.isEmpty());
+  const std::optional<routing::LoadReport> decoded = roundTrip(report);
+  REQUIRE(decoded);
+  REQUIRE(decoded->PoolServices.size() == 1);
+  const routing::PoolService &it = decoded->PoolServices[0];
+  CHECK(it.Pool.Text == "p");
+  CHECK(it.Prefill.Tokens == 1'500);
+  CHECK(it.Prefill.Seconds == 2.5);
+  CHECK(it.Requests == 3);
+  CHECK(it.RatedTokens == 4'000);
+  CHECK(it.BacklogSum == 0.5);
+  CHECK(it.BacklogCount == 8);
+  CHECK(it.Engines == 140);
+  report.PoolServices[0].Prefill.Seconds = -1;
+  CHECK_FALSE(roundTrip(report));
+}
+
 TEST_CASE_METHOD(PeerCodecFixture,
                  "peer_codec_any_bytes_are_decoded_or_rejected") {
   const bool passed = rc::check([](const std::string &bytes) {
--- a/packages/routing/src/engine_choice.cpp
+++ b/packages/routing/src/engine_choice.cpp
@@ -169,8 +169,9 @@
   DispatchDecision decision =
       sendToEngine(rankEngines(request, pool, false, now), request, share, now);
   const Rejection *rejection = std::get_if<Rejection>(&decision);
-  if (rejection != nullptr && share.Usage < Policy.WaitRampStart &&
-      !Recipients.RemotePeers.empty()) {
+  const bool teamFits =
+      share.Usage < Policy.WaitRampStart || share.AdmittedFraction >= 1;
+  if (rejection != nullptr && teamFits && !Recipients.RemotePeers.empty()) {
     // A team within its fair share must not be rejected because of an
     // unfavourable random sample.
     decision = sendToEngine(rankEngines(request, pool, true, now), request,
