--- a/packages/routing/src/fleet_capacity.cpp
+++ b/packages/routing/src/fleet_capacity.cpp
@@ -52,7 +52,12 @@
 
 PoolService PoolServiceSums::of(const PoolId &pool) const {
   const auto it = Pools.find(pool);
-  return it == Pools.end() ? PoolService{pool} : it->second;
+  if (it != Pools.end()) {
+    return it->second;
+  }
+  PoolService out;
+  out.Pool = pool;
+  return out;
 }
 
 void FleetCapacity::setEngines(const std::map<PoolId, std::uint32_t> &engines,
--- a/packages/routing/src/peer_loads.cpp
+++ b/packages/routing/src/peer_loads.cpp
@@ -108,8 +108,9 @@
 }
 
 bool PeerLoads::hasReports(Time now) const {
-  return std::any_of(Reports.begin(), Reports.end(),
-                     [&](const auto &it) { return isCurrent(it.second, now); });
+  return std::any_of(Reports.begin(), Reports.end(), [now](const auto &it) {
+    return now - it.second.ReceivedAt <= MaxReportSilence;
+  });
 }
 
 Duration PeerLoads::oldestReportAge(Time now) const {
