--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -101,6 +101,17 @@
         static_cast<std::uint32_t>(std::lround(it.Load.Pace * 100)));
     entry->set_age_ms(ageToWire(it.Age));
   }
+  for (const routing::PoolService &it : report.PoolServices) {
+    wire::PoolService *entry = out.add_pool_service();
+    entry->set_pool(it.Pool.Text);
+    entry->set_tokens(static_cast<float>(it.Prefill.Tokens));
+    entry->set_seconds(static_cast<float>(it.Prefill.Seconds));
+    entry->set_requests(static_cast<float>(it.Requests));
+    entry->set_rated_tokens(static_cast<float>(it.RatedTokens));
+    entry->set_engines(it.Engines);
+    entry->set_backlog_sum(static_cast<float>(it.BacklogSum));
+    entry->set_backlog_count(static_cast<float>(it.BacklogCount));
+  }
 }
 
 void encode(const routing::RelayedChanges &changes,
@@ -240,6 +251,20 @@
            milliseconds(it.age_ms())});
     }
   }
+  for (const wire::PoolService &it : in.pool_service()) {
+    if (!isRate(it.tokens()) || !isRate(it.seconds()) ||
+        !isRate(it.requests()) || !isRate(it.rated_tokens()) ||
+        !isRate(it.backlog_sum()) || !isRate(it.backlog_count())) {
+      return std::nullopt;
+    }
+    report.PoolServices.push_back({PoolId{it.pool()},
+                                   {it.tokens(), it.seconds()},
+                                   it.requests(),
+                                   it.rated_tokens(),
+                                   it.backlog_sum(),
+                                   it.backlog_count(),
+                                   it.engines()});
+  }
   return report;
 }
 
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "nutmegsill/routing/crash_quarantine.h"
+#include "nutmegsill/routing/fleet_capacity.h"
 #include "nutmegsill/routing/load_report.h"
 #include "nutmegsill/routing/model.h"
 #include "nutmegsill/routing/peer_loads.h"
@@ -145,6 +146,9 @@
   /// more, when recomputation displaces two to three times its own value.
   double BusyRecomputeCost = 1.2;
   Duration BusyBacklog = milliseconds(250);
+  /// Largest backlog that is told apart, relative to `BusyBacklog`: in the
+  /// second of the longest queue most requests are late.
+  double MaxBacklog = 4;
   /// Cost of an expected time that equals the objective; proportional to the
   /// expected time, so that it ranks the targets that meet the objective.
   double WaitCost = 0.15;
@@ -164,8 +168,8 @@
   /// Fraction of the objective that the expected time may reach. It is
   /// `MaxWaitFraction` for a team that uses at most `WaitRampStart` of its fair
   /// share, falls linearly to `MinWaitFraction` at `WaitRampEnd`, and beyond
-  /// that with the inverse of the usage, so that teams with a lower usage are
-  /// admitted first.
+  /// that with the inverse of the usage. Requests beyond the share of their
+  /// team wait for a fraction of the pool's shortest objective instead.
   double MaxWaitFraction = 0.9;
   double MinWaitFraction = 0.25;
   double WaitRampStart = 0.8;
@@ -174,6 +178,11 @@
   /// `WaitRampStart` of its fair share, and less by this power of its usage
   /// beyond that.
   double LimitShareExponent = 4;
+  /// Highest used share by which the wait of requests within the share of
+  /// their team falls: to 0.65 of the objective. With 2.2 engines idle while
+  /// reports are late, with 1 their queues grow and more responses are late
+  /// (docs/design/fleet-capacity.md).
+  double MaxUsageWithinShare = 1.5;
   /// Queueing time allowed to a prompt whose own prefill takes most of the time
   /// that its team may wait, as a fraction of that time.
   double LargePromptWaitFraction = 0.25;
@@ -316,12 +325,11 @@
   struct PoolState {
     /// Pointers into `Dispatcher::Targets`.
     std::vector<TargetState *> Targets;
-    PrefillRate ObservedRate;
     /// Prompt tokens per second that an engine is expected to prefill.
     double ExpectedRate = 0;
     /// Prefill backlog of the engines relative to
-    /// `DispatchPolicy::BusyBacklog`, from 0 to 1.
-    double BacklogFraction = 0;
+    /// `DispatchPolicy::BusyBacklog`, up to `DispatchPolicy::MaxBacklog`.
+    double Backlog = 0;
     double MeanRecentTokens = 0;
     std::optional<Time> SummedUpAt;
     /// When the last request rejected for limits was told to return.
@@ -416,7 +424,10 @@
                                 const FairShare &share, Time now);
   /// Maximum expected time to the first event at which a request is still sent.
   Duration waitLimit(const DispatchRequest &request,
-                     const EngineCandidate &engine, double usage) const;
+                     const EngineCandidate &engine,
+                     const FairShare &share) const;
+  /// The shortest objective of the routes to the pool of `request`.
+  Duration shortestObjective(const DispatchRequest &request) const;
   /// Ratio of the team's served rate to its fair share, over the whole fleet.
   FairShare fairShare(const DispatchRequest &request, Time now);
   /// Returns a random sample of `eligible`, and `preferred` if it is eligible,
@@ -437,9 +448,16 @@
   void updatePools();
   /// Counts the engines of each zone for `PartHomes`.
   void updatePartHomes();
-  void updateMaxEngineCount();
-  /// Prompt tokens per second that one engine prefills by the configuration.
-  double configuredPrefillRate() const;
+  /// Tells `Capacity` of the engines in the view.
+  void updateEngines();
+  /// Tells `Capacity` what the other routers observe.
+  void hearPeers(Time now);
+  /// Computes the capacity of the fleet from the state of its engines.
+  void updateCapacity(Time now);
+  /// Fraction of its rated throughput that an engine may be sent, if that is
+  /// `ratedRequests` per second.
+  double openFraction(const TargetState &state, const PoolRule &pool,
+                      double ratedRequests, Time now) const;
   /// Learns from the time that the first event of a request took.
   void recordFirstEvent(TargetState &state, const Assignment &assignment,
                         Time now);
@@ -455,8 +473,7 @@
   std::map<TargetId, TargetState> Targets;
   std::map<PoolId, PoolState> Pools;
   PeerLoads Peers;
-  /// Rated tokens per second that `Shares` divides.
-  double Capacity = 0;
+  FleetCapacity Capacity;
   /// Time when the peers' rates were last summed up for `Shares`.
   std::optional<Time> SharesUpdatedAt;
   PrefixCacheTracker Caches;
@@ -474,8 +491,6 @@
   std::uint64_t RotationOffset = 0;
   ZoneHomes PartHomes;
   std::minstd_rand Random;
-  /// Maximum number of engines in any view so far.
-  std::size_t MaxEngineCount = 0;
 };
 
 } // namespace nutmegsill::routing
--- a/packages/routing/include/nutmegsill/routing/load_report.h
+++ b/packages/routing/include/nutmegsill/routing/load_report.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "nutmegsill/routing/crash_quarantine.h"
+#include "nutmegsill/routing/fleet_capacity.h"
 #include "nutmegsill/routing/handover.h"
 #include "nutmegsill/routing/service_load.h"
 #include "nutmegsill/routing/target_statements.h"
@@ -64,11 +65,14 @@
   std::vector<SpareCapacity> Spare;
   /// Stated loads that were heard since the last report.
   std::vector<TargetStateReport> TargetStates;
+  /// What was observed of the engines of each pool.
+  std::vector<PoolService> PoolServices;
 
-  /// Whether there is nothing to tell of targets, teams, crashes and limits.
+  /// Whether there is nothing to tell of targets, teams, crashes, limits and
+  /// engines.
   bool isEmpty() const {
     return Targets.empty() && Teams.empty() && Quarantine.isEmpty() &&
-           Statements.empty() && TargetStates.empty();
+           Statements.empty() && TargetStates.empty() && PoolServices.empty();
   }
 };
 
--- a/packages/routing/include/nutmegsill/routing/team_share.h
+++ b/packages/routing/include/nutmegsill/routing/team_share.h
@@ -6,6 +6,7 @@
 
 #include <limits>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace nutmegsill::routing {
@@ -31,6 +32,13 @@
   double Capacity = 0;
   /// Age of the oldest report that the figures come from.
   Duration Age{0};
+  /// Fraction of the team's requests that its share of what the engines serve
+  /// amounts to.
+  double AdmittedFraction = 1;
+  /// The request is within that fraction.
+  bool IsWithin = true;
+  /// Otherwise, the time after which it is expected to be.
+  Duration NextTurn{0};
 };
 
 /// Compares the served rates of teams with their fair shares, over the whole
@@ -44,14 +52,26 @@
   /// Counts a request that was sent to a target.
   void recordServed(const TeamId &team, double tokens, Time now);
   /// Divides `capacity`, in rated tokens per second, among the demands of all
-  /// teams.
-  void updateFairRate(double capacity, Time now);
+  /// teams. Also divides what all teams are served, if that is more, corrected
+  /// by the engines' backlog; 1 is a full one.
+  void updateFairRate(double capacity, double backlog, Time now);
   /// Returns the ratio of the team's served rate to the fair share as of the
   /// last update; 0 while all demands fit or if the capacity is 0.
   double fairShareUsage(const TeamId &team, Time now);
   /// Fair share of a team as of the last update, in rated tokens per second;
   /// infinity while all demands fit.
   double fairRate() const { return FairRate; }
+  /// Takes a request of `tokens` rated tokens into the team's share, or not, so
+  /// that all routers together take in what the team gets if all that the
+  /// engines serve is divided by max-min fairness. Every router takes in the
+  /// same fraction of its requests of a team.
+  bool takeTurn(const TeamId &team, double tokens);
+  /// Fraction of the team's requests that its share amounts to, as of the last
+  /// update.
+  double shareFraction(const TeamId &team) const;
+  /// Time after which a request of `tokens` rated tokens is expected to be
+  /// within the share, if this router's requests of the team go on as now.
+  Duration nextTurn(const TeamId &team, double tokens, Time now);
   /// Rates of the requests of this router only.
   std::map<TeamId, TeamRate> ownRates(Time now);
 
@@ -60,11 +80,21 @@
   struct Meters {
     Meter Requested{2};
     Meter Served{2};
+    /// Tokens of the share that requests have not used.
+    double Turns = 0;
   };
+  /// Rates of a router that has counted for less than the meters' time are
+  /// those of the time that it has counted.
+  double startFactor(Time now) const;
 
   std::map<TeamId, Meters> Teams;
   std::map<TeamId, TeamRate> Peers;
   double FairRate = std::numeric_limits<double>::infinity();
+  /// Rate per team if all that the engines serve is divided.
+  double ServedLevel = std::numeric_limits<double>::infinity();
+  /// Requested rates of all teams as of the last update.
+  std::map<TeamId, double> Requested;
+  std::optional<Time> StartedAt;
 };
 
 } // namespace nutmegsill::routing
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -19,8 +19,6 @@
 /// Time without progress after which a target with running requests is only
 /// used if there is no other.
 constexpr Duration StallTimeout = milliseconds(1'500);
-/// Fewest outstanding tokens from which a prefill rate is learned.
-constexpr double MinObservedTokens = 1'500;
 /// Bounds of the Retry-After of a request that was rejected as all targets are
 /// at their limits.
 constexpr Duration MinLimitRetryAfter = milliseconds(300);
@@ -87,7 +85,7 @@
   Statements.setFleet(processes, View->Routers.size(), now);
   Services.setFleet(processes);
   updatePools();
-  updateMaxEngineCount();
+  updateEngines();
   updateColdSenders();
   updatePartHomes();
   Recipients = routing::reportRecipients(View->Routers, Self);
@@ -119,7 +117,8 @@
     return out;
   }
   out.SummedUpAt = now;
-  out.ExpectedRate = out.ObservedRate.rate(configuredPrefillRate(), now);
+  hearPeers(now);
+  out.ExpectedRate = Capacity.expectedRate(pool, now);
   double tokens = 0;
   double recent = 0;
   double active = 0;
@@ -136,25 +135,14 @@
     }
   }
   const double wait = tokens / std::max(1.0, active) / out.ExpectedRate;
-  out.BacklogFraction =
-      std::clamp(wait / toSeconds(Policy.BusyBacklog), 0.0, 1.0);
+  out.Backlog =
+      std::clamp(wait / toSeconds(Policy.BusyBacklog), 0.0, Policy.MaxBacklog);
   out.MeanRecentTokens =
       recent /
       static_cast<double>(std::max<std::size_t>(1, out.Targets.size()));
   return out;
 }
 
-void Dispatcher::updateMaxEngineCount() {
-  std::size_t engines = 0;
-  for (const auto &[id, state] : Targets) {
-    const PoolRule *pool = View->Config->findPool(state.Known.Entry.Pool);
-    engines += pool != nullptr && pool->Engine ? 1 : 0;
-  }
-  // The rated throughput is that of all engines, of which some may be absent
-  // from this view.
-  MaxEngineCount = std::max(MaxEngineCount, engines);
-}
-
 void Dispatcher::updateColdSenders() {
   // Other routers rarely have requests for the permits that they hold.
   const std::set<HostId> senders = preferredRouters(View->Routers);
@@ -348,18 +336,6 @@
   assignment.OutstandingTokens = 0;
 }
 
-void Dispatcher::recordFirstEvent(TargetState &state,
-                                  const Assignment &assignment, Time now) {
-  // Of a short prompt the time shows the decode steps in between, not the rate.
-  if (assignment.OutstandingTokens < MinObservedTokens) {
-    return;
-  }
-  const Duration elapsed = now - assignment.SentAt - Policy.FirstEventOverhead;
-  state.ObservedRate.record(assignment.OutstandingTokens, elapsed, now);
-  Pools[state.Known.Entry.Pool].ObservedRate.record(
-      assignment.OutstandingTokens, elapsed, now);
-}
-
 void Dispatcher::recordResult(Assignment &assignment, ExchangeResult result,
                               Time now) {
   TargetState *known = assignedTarget(assignment);
@@ -415,6 +391,9 @@
   for (FleetChange &it : Services.takeChanges()) {
     out.push_back(std::move(it));
   }
+  for (FleetChange &it : Capacity.takeChanges()) {
+    out.push_back(std::move(it));
+  }
   return out;
 }
 
@@ -422,6 +401,7 @@
   Caches.expire(now);
   Peers.expire(now);
   Quarantine.update(now);
+  Capacity.recordActive(now);
   OutgoingReports out;
   out.Recipients = Recipients;
   for (const auto &[id, state] : Targets) {
@@ -436,8 +416,11 @@
     }
   }
   out.OwnReport.Statements = Statements.ownReport(now);
+  updateCapacity(now);
+  out.OwnReport.PoolServices = Capacity.ownReport(now);
   if (forRemotePeers) {
-    out.GroupReport = Peers.aggregateWith(out.OwnReport, Recipients.GroupPeers);
+    out.GroupReport =
+        Peers.aggregateWith(out.OwnReport, Recipients.GroupPeers, now);
     out.GroupReport.PromptsSent = UnreportedGroupPrompts.take();
     out.GroupReport.Quarantine = Quarantine.takeGroupReport(now);
     out.GroupReport.Statements = Statements.groupReport(
--- a/packages/routing/src/peer_loads.cpp
+++ b/packages/routing/src/peer_loads.cpp
@@ -1,9 +1,17 @@
 #include "nutmegsill/routing/peer_loads.h"
 
 #include <algorithm>
+#include <set>
 
 namespace nutmegsill::routing {
 
+namespace {
+
+/// Routers report at least every 0.72 s (`reportIntervals`).
+constexpr Duration MaxReportSilence = std::chrono::seconds(1);
+
+} // namespace
+
 void PeerLoads::receiveReport(const HostId &peer, LoadReport report, Time now) {
   report.PromptsSent.clear();
   report.Quarantine = {};
@@ -13,6 +21,12 @@
   if (old != Reports.end()) {
     subtract(old->second.Report);
   }
+  // The reports in use have no router in common; that changes only with the
+  // routers that one of them includes.
+  if (old == Reports.end() ||
+      old->second.Report.IncludedHosts != report.IncludedHosts) {
+    dropOverlapping(peer, report);
+  }
   for (const TargetLoad &it : report.Targets) {
     TotalLoad &sum = TargetTotals[it.Target];
     sum.PrefillTokens += it.PrefillTokens;
@@ -21,6 +35,28 @@
   Reports[peer] = ReceivedReport{std::move(report), now};
 }
 
+void PeerLoads::dropOverlapping(const HostId &peer, const LoadReport &report) {
+  std::set<HostId> included(report.IncludedHosts.begin(),
+                            report.IncludedHosts.end());
+  included.insert(peer);
+  for (auto it = Reports.begin(); it != Reports.end();) {
+    const auto &[host, received] = *it;
+    const std::vector<HostId> &others = received.Report.IncludedHosts;
+    const bool overlaps =
+        host != peer &&
+        (included.count(host) != 0 ||
+         std::any_of(others.begin(), others.end(), [&](const HostId &other) {
+           return included.count(other) != 0;
+         }));
+    if (!overlaps) {
+      ++it;
+      continue;
+    }
+    subtract(received.Report);
+    it = Reports.erase(it);
+  }
+}
+
 void PeerLoads::subtract(const LoadReport &report) {
   for (const TargetLoad &it : report.Targets) {
     const auto sum = TargetTotals.find(it.Target);
@@ -37,7 +73,7 @@
 
 void PeerLoads::expire(Time now) {
   for (auto it = Reports.begin(); it != Reports.end();) {
-    if (now - it->second.ReceivedAt <= MaxReportAge) {
+    if (isCurrent(it->second, now)) {
       ++it;
       continue;
     }
@@ -62,6 +98,22 @@
   return out;
 }
 
+PoolServiceSums PeerLoads::poolServices(Time now) const {
+  PoolServiceSums out;
+  for (const auto &[peer, received] : Reports) {
+    if (isCurrent(received, now)) {
+      out.add(received.Report.PoolServices, now - received.ReceivedAt);
+    }
+  }
+  return out;
+}
+
+bool PeerLoads::hasReports(Time now) const {
+  return std::any_of(Reports.begin(), Reports.end(), [now](const auto &it) {
+    return now - it.second.ReceivedAt <= MaxReportSilence;
+  });
+}
+
 Duration PeerLoads::oldestReportAge(Time now) const {
   Duration out{0};
   for (const auto &[peer, received] : Reports) {
@@ -71,7 +123,8 @@
 }
 
 LoadReport PeerLoads::aggregateWith(LoadReport own,
-                                    const std::vector<HostId> &peers) const {
+                                    const std::vector<HostId> &peers,
+                                    Time now) const {
   std::map<TargetId, TargetLoad> targets;
   std::map<TeamId, TeamRate> teams;
   const auto add = [&targets, &teams](const LoadReport &report) {
@@ -86,10 +139,13 @@
     }
   };
   add(own);
+  PoolServiceSums services;
+  services.add(own.PoolServices, Duration{0});
   for (const HostId &peer : peers) {
     const auto it = Reports.find(peer);
     if (it != Reports.end()) {
       add(it->second.Report);
+      services.add(it->second.Report.PoolServices, now - it->second.ReceivedAt);
       own.IncludedHosts.push_back(peer);
       own.OverloadedHosts.insert(own.OverloadedHosts.end(),
                                  it->second.Report.OverloadedHosts.begin(),
@@ -98,6 +154,7 @@
                        it->second.Report.Spare.end());
     }
   }
+  own.PoolServices = services.list();
   own.Targets.clear();
   for (auto &[id, load] : targets) {
     load.Target = id;
