--- a/packages/standins/src/handover_benchmark.cpp
+++ b/packages/standins/src/handover_benchmark.cpp
@@ -138,8 +138,10 @@
     const Clock::time_point begin = Clock::now();
     std::atomic<int> next{0};
     std::atomic<int> failed{0};
+    const int callerCount = stream ? StreamCallers : PlainCallers;
     std::vector<std::thread> callers;
-    for (int i = 0; i < (stream ? StreamCallers : PlainCallers); ++i) {
+    callers.reserve(static_cast<std::size_t>(callerCount));
+    for (int i = 0; i < callerCount; ++i) {
       callers.emplace_back([&] {
         std::unique_ptr<RawCaller> kept;
         while (next++ < total) {
@@ -175,6 +177,7 @@
 private:
   std::vector<double> processorTimes() const {
     std::vector<double> out;
+    out.reserve(Fleet.RouterProcesses.size());
     for (const Process &it : Fleet.RouterProcesses) {
       out.push_back(processorTime(it.pid()));
     }
