Test a hedged request with real processes

One of two targets takes 2 s for a response: the other's answers the same request, at-most-once requests have one attempt.

--- a/packages/gateway/test/gateway_places_test.cpp
+++ b/packages/gateway/test/gateway_places_test.cpp
@@ -71,4 +71,33 @@
   CHECK(FirstTarget->runCount("left") + SecondTarget->runCount("left") == 0);
 }
 
+// Guards against a slow response although another target is fast, and against
+// an answer that belongs to the attempt that was given up.
+TEST_CASE_METHOD(GatewayFixture, "gateway_slow_response_is_hedged") {
+  HedgingBudget = 1;
+  startRouter();
+  for (int i = 0; i < 40; ++i) {
+    CHECK(sendRequest("/safe/a", "usual-" + std::to_string(i)).Status == 200);
+  }
+  FirstTarget->setResponsePause(std::chrono::milliseconds(2'000));
+  const auto wins = [this] {
+    return httpGet(Routers[0].MetricsAddress, "/metrics")
+               .Body.find("nutmegsill_hedges_total{result=\"won\"}") !=
+           std::string::npos;
+  };
+  for (int i = 0; i < 10 && !wins(); ++i) {
+    const std::string id = "slow-" + std::to_string(i);
+    const RawResponse response = sendRequest("/safe/a", id);
+    CHECK(response.Status == 200);
+    CHECK(response.Body == "answer to " + id);
+  }
+  CHECK(wins());
+  // Requests that run at most once have no second attempt.
+  for (int i = 0; i < 2; ++i) {
+    const std::string id = "once-" + std::to_string(i);
+    CHECK(sendRequest("/buy/a", id).Status == 200);
+    CHECK(FirstTarget->runCount(id) + SecondTarget->runCount(id) == 1);
+  }
+}
+
 } // namespace nutmegsill::standin
--- a/packages/standins/src/local_fleet.h
+++ b/packages/standins/src/local_fleet.h
@@ -83,6 +83,9 @@
   int RevocationBoundMs = 5000;
   /// Grace period in the settings of routers added from now on, in seconds.
   int StopGraceS = 6;
+  /// `hedging.budget` in the settings of routers added from now on; absent if
+  /// 0.
+  double HedgingBudget = 0;
   /// Limit of file descriptors in the settings of routers added from now on.
   int MaxDescriptors = 1024;
 };
