Count refusals of engines as failures also if they state their load

Only plain targets are kept from requests by the load that a refusal states. Engines are ranked by their failure rate, without which a full one would be chosen again at once. Tests run: the routing cases of the choice of targets.

--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -372,8 +372,11 @@
   /// Lets a request wait for a place, or rejects it.
   Rejection rejectForPlaces(const std::vector<ServiceCandidate> &candidates,
                             const DispatchRequest &request);
-  /// Learns from the end of a request to a plain target.
-  void recordServiceResult(const Assignment &assignment, ExchangeResult result,
+  /// Whether the target is plain and has stated its load.
+  bool isStatedService(const Assignment &assignment) const;
+  /// Learns from the end of a request to such a target; returns whether it is
+  /// one.
+  bool recordServiceResult(const Assignment &assignment, ExchangeResult result,
                            Time now);
   /// Returns the pool's targets with a recent summary of the peers' loads.
   PoolState &poolState(const PoolId &pool, Time now);
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -370,11 +370,11 @@
       std::min<std::uint64_t>(state.PrefillTokens, assignment.PrefillTokens);
   assignment.PrefillTokens = 0;
   state.RunningRequests -= std::min(state.RunningRequests, 1U);
-  recordServiceResult(assignment, result, now);
+  const bool isStated = recordServiceResult(assignment, result, now);
   // A target that asks for a pause, or states that it is full, does not fail.
-  const bool isFull = result == ExchangeResult::Refused &&
-                      (Statements.pauseOf(processOf(state), now).has_value() ||
-                       Services.isStated(processOf(state)));
+  const bool isFull =
+      result == ExchangeResult::Refused &&
+      (isStated || Statements.pauseOf(processOf(state), now).has_value());
   if (result == ExchangeResult::Cancelled || isFull) {
     return;
   }
--- a/packages/routing/src/service_choice.cpp
+++ b/packages/routing/src/service_choice.cpp
@@ -243,17 +243,27 @@
   }
 }
 
-void Dispatcher::recordServiceResult(const Assignment &assignment,
+bool Dispatcher::isStatedService(const Assignment &assignment) const {
+  const PoolRule *pool = View->Config->findPool(assignment.Pool);
+  const bool isEngine = pool != nullptr && pool->Engine;
+  return !isEngine &&
+         Services.isStated({assignment.Target, assignment.TargetStartedAtMs});
+}
+
+bool Dispatcher::recordServiceResult(const Assignment &assignment,
                                      ExchangeResult result, Time now) {
+  if (!isStatedService(assignment)) {
+    return false;
+  }
   if (result == ExchangeResult::Refused) {
-    const Duration usual =
-        Services.usualTime(assignment.Pool, MinPlaceRetryAfter);
-    Services.recordRefused({assignment.Target, assignment.TargetStartedAtMs},
-                           usual, now);
+    Services.recordRefused(
+        {assignment.Target, assignment.TargetStartedAtMs},
+        Services.usualTime(assignment.Pool, MinPlaceRetryAfter), now);
   } else if (result == ExchangeResult::Completed && assignment.TimeFactor > 0) {
     Services.recordTime(assignment.Pool, now - assignment.SentAt,
                         assignment.TimeFactor);
   }
+  return true;
 }
 
 } // namespace nutmegsill::routing
--- a/packages/routing/test/service_load_test.cpp
+++ b/packages/routing/test/service_load_test.cpp
@@ -114,6 +114,25 @@
   CHECK(targetOf(start(at(4)).chooseTarget(TestedDispatcher, at(4))) == "d-2");
 }
 
+// Guards against engines that refuse and are chosen again at once, as only
+// their failure rate keeps requests away.
+TEST_CASE_METHOD(ServiceLoadFixture, "service_load_refusing_engine_fails") {
+  Config->Pools[PoolId{"desk"}].Engine = EngineLimits{64, 200'000};
+  int sent = 0;
+  for (int i = 0; i < 8; ++i) {
+    DispatchDecision decision =
+        start(at(i)).chooseTarget(TestedDispatcher, at(i));
+    Assignment assignment = std::get<Assignment>(decision);
+    TestedDispatcher.recordLoad(assignment, Idle, at(i));
+    const bool refuses = assignment.Target.Text == "d-1";
+    sent += refuses ? 1 : 0;
+    TestedDispatcher.recordResult(
+        assignment,
+        refuses ? ExchangeResult::Refused : ExchangeResult::Completed, at(i));
+  }
+  CHECK(sent <= 4);
+}
+
 TEST_CASE("place_queue_urgent_requests_go_first") {
   PlaceQueue queue;
   const PoolId pool{"desk"};
