--- a/packages/standins/src/local_fleet.cpp
+++ b/packages/standins/src/local_fleet.cpp
@@ -111,6 +111,9 @@
   if (HasHandover) {
     settings["gateway"]["handover"] = freeLoopbackAddress();
   }
+  if (HedgingBudget > 0) {
+    settings["hedging"] = {{"budget", HedgingBudget}};
+  }
   const std::string path = TempDir + "/" + addresses.Host + ".json";
   std::ofstream(path) << settings.dump();
   RouterProcesses.push_back(launchRouter(addresses.Host));
