Read orders and states of roll-outs from the store

FleetState keeps them in the view, and keeps orders that a restored store lacks for the time in which they are written again.

--- a/packages/routing/include/nutmegsill/routing/fleet_state.h
+++ b/packages/routing/include/nutmegsill/routing/fleet_state.h
@@ -83,6 +83,8 @@
   void apply(const TargetRemoved &it, Time now);
   void apply(const RouterUpdated &it, Time now);
   void apply(const RouterRemoved &it, Time now);
+  void apply(const RolloutOrderUpdated &it, Time now);
+  void apply(const RolloutStatusUpdated &it, Time now);
   void apply(const UnreadableItem &it, Time now);
   void apply(const UnrelatedItem &it, Time now);
 
@@ -102,6 +104,7 @@
   /// Entries of removed processes in a restored store, with the time from which
   /// they are believed if they are still there.
   std::map<TargetId, std::pair<TargetEntry, Time>> DoubtedEntries;
+  KnownRollouts Rollouts;
   UnreadableReports Unreadable;
   bool HasListing = false;
   bool ViewOutdated = true;
--- a/packages/routing/include/nutmegsill/routing/model.h
+++ b/packages/routing/include/nutmegsill/routing/model.h
@@ -2,6 +2,7 @@
 /// routers.
 #pragma once
 
+#include "nutmegsill/routing/rollout_items.h"
 #include "nutmegsill/types.h"
 
 #include <cstdint>
@@ -136,6 +137,8 @@
   Duration RemainingColdTime{0};
   /// Start time of the process; distinguishes successive processes with one id.
   std::int64_t StartedAtMs = 0;
+  /// Version of the software that the process runs; empty if it states none.
+  std::string Version = {};
   bool operator==(const TargetEntry &) const = default;
 };
 
@@ -183,13 +186,17 @@
   std::string Reason;
   std::optional<TargetId> Target;
   std::optional<HostId> Router;
+  /// Set for the order of a roll-out, which then names none.
+  std::optional<PoolId> Rollout = std::nullopt;
 };
 /// An item that does not concern routers.
 struct UnrelatedItem {};
 
-using StoreUpdate = std::variant<ConfigUpdated, ZoneEvacuated, ZoneRestored,
-                                 TargetUpdated, TargetRemoved, RouterUpdated,
-                                 RouterRemoved, UnreadableItem, UnrelatedItem>;
+using StoreUpdate =
+    std::variant<ConfigUpdated, ZoneEvacuated, ZoneRestored, TargetUpdated,
+                 TargetRemoved, RouterUpdated, RouterRemoved,
+                 RolloutOrderUpdated, RolloutStatusUpdated, UnreadableItem,
+                 UnrelatedItem>;
 
 /// A target's entry and the state that this router derived for it.
 struct KnownTarget {
@@ -204,6 +211,8 @@
   std::shared_ptr<const ServiceConfig> Config;
   std::vector<KnownTarget> Targets;
   std::vector<RouterEntry> Routers;
+  /// Pools with an order to move to another version, or its status.
+  std::map<PoolId, RolloutItems> Rollouts = {};
   /// Increases with every view of this process.
   std::uint64_t Version = 0;
 };
--- a/packages/routing/src/fleet_state.cpp
+++ b/packages/routing/src/fleet_state.cpp
@@ -36,6 +36,9 @@
 std::vector<FleetChange> FleetState::takeChanges() {
   std::vector<FleetChange> all;
   all.swap(Changes);
+  for (FleetChange &it : Rollouts.takeChanges()) {
+    all.push_back(std::move(it));
+  }
   return all;
 }
 
@@ -104,6 +107,7 @@
   for (const ZoneId &it : evacuated) {
     PendingZoneReturns[it] = now + Policy.RestoreGrace;
   }
+  Rollouts.keepOrders(now + Policy.RestoreGrace);
   removeMissing(updates, now);
   for (const StoreUpdate &update : updates) {
     const TargetUpdated *it = std::get_if<TargetUpdated>(&update);
@@ -139,6 +143,7 @@
   std::set<TargetId> targets;
   std::set<HostId> routers;
   std::set<ZoneId> zones;
+  std::map<PoolId, RolloutItems> rollouts;
   for (const StoreUpdate &update : updates) {
     if (const TargetUpdated *it = std::get_if<TargetUpdated>(&update)) {
       targets.insert(it->Entry.Target);
@@ -146,8 +151,13 @@
       routers.insert(it->Entry.Host);
     } else if (const ZoneEvacuated *it = std::get_if<ZoneEvacuated>(&update)) {
       zones.insert(it->Zone);
+    } else if (const auto *it = std::get_if<RolloutOrderUpdated>(&update)) {
+      rollouts[it->Pool].Order = it->Order;
+    } else if (const auto *it = std::get_if<RolloutStatusUpdated>(&update)) {
+      rollouts[it->Pool].Status = it->Status;
     }
   }
+  Rollouts.removeMissing(rollouts);
   for (const TargetId &id : missingKeys(Targets, targets)) {
     apply(TargetRemoved{id}, now);
   }
@@ -317,6 +327,17 @@
   if (it.Router) {
     apply(RouterRemoved{*it.Router}, now);
   }
+  if (it.Rollout) {
+    apply(RolloutOrderUpdated{*it.Rollout, std::nullopt}, now);
+  }
+}
+
+void FleetState::apply(const RolloutOrderUpdated &it, Time /*now*/) {
+  ViewOutdated = Rollouts.apply(it) || ViewOutdated;
+}
+
+void FleetState::apply(const RolloutStatusUpdated &it, Time /*now*/) {
+  ViewOutdated = Rollouts.apply(it) || ViewOutdated;
 }
 
 void FleetState::apply(const UnrelatedItem & /*it*/, Time /*now*/) {}
@@ -325,7 +346,8 @@
   if (FailingSince) {
     return false;
   }
-  bool changed = false;
+  bool changed = Rollouts.expire(now);
+  ViewOutdated = ViewOutdated || changed;
   const std::map<TargetId, Time> removals = PendingTargetRemovals;
   for (const auto &[id, removeAt] : removals) {
     if (removeAt <= now) {
@@ -376,6 +398,7 @@
   for (const auto &[host, entry] : Routers) {
     fresh->Routers.push_back(entry);
   }
+  fresh->Rollouts = Rollouts.items();
   fresh->Version = ++Version;
   LatestView = std::move(fresh);
   ViewOutdated = false;
