Decide on roll-outs from the responses of the whole fleet

Change: Rollouts decides, from counts that load reports sum up, which version a request may go to, whether the new one is bad, and when nothing is left at the previous one. compareVersions tells a bad version from faults of single targets and of both versions. The dispatcher restricts the candidates of a request by version; without an order it does not.

--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -12,6 +12,7 @@
 #include "nutmegsill/routing/report_recipients.h"
 #include "nutmegsill/routing/request_identity.h"
 #include "nutmegsill/routing/retry_budget.h"
+#include "nutmegsill/routing/rollout.h"
 #include "nutmegsill/routing/target_statements.h"
 #include "nutmegsill/routing/team_share.h"
 
@@ -65,6 +66,8 @@
   std::optional<double> StatedRate;
   /// The request is a trial of a quarantined cause.
   bool IsTrial = false;
+  /// Set while the pool moves to another version.
+  std::optional<RolloutSample> Rollout = {};
 };
 
 /// Why no target was chosen for a request.
@@ -186,6 +189,8 @@
   double ColdRateFraction = 0.6;
   /// Number of preferred routers that may send to one cold target.
   std::uint32_t ColdSenderCount = 3;
+  /// Without it, orders to move a pool to another version are ignored.
+  std::optional<RolloutPolicy> Rollout = {};
 };
 
 /// The load reports of one interval and their recipients.
@@ -235,8 +240,8 @@
   bool mayRepeat(const DispatchRequest &request, Time now) const {
     return Quarantine.mayRepeat(suspectOf(request), now);
   }
-  /// Returns and clears the changes of the quarantine and of what targets
-  /// state.
+  /// Returns and clears the changes of the quarantine, of what targets state
+  /// and of roll-outs.
   std::vector<FleetChange> takeChanges();
 
   /// Returns the reports to send and clears the unreported prompts. Also
@@ -251,6 +256,8 @@
   Duration oldestReportAge(Time now) const {
     return Peers.oldestReportAge(now);
   }
+  /// The roll-outs of versions, for their decisions and the store's age.
+  Rollouts &rollouts() { return Versions; }
   /// Maximum number of connections from this router to one target of the pool:
   /// `PoolRule::MaxConnections` divided by the number of routers, at least 1; 0
   /// if the pool has no limit or is unknown.
@@ -315,6 +322,12 @@
   /// The target of an assignment; null if it is gone or another process.
   TargetState *assignedTarget(const Assignment &assignment);
   bool isEligible(TargetState &state, const DispatchRequest &request, Time now);
+  /// Chooses among the versions that a roll-out allows.
+  DispatchDecision chooseByVersion(const DispatchRequest &request, Time now);
+  DispatchDecision chooseByKind(const DispatchRequest &request, Time now);
+  void recordVersionResult(const Assignment &assignment, ExchangeResult result,
+                           Time now);
+  void updateVersions(Time now);
   DispatchDecision chooseEngine(const DispatchRequest &request, Time now);
   DispatchDecision chooseService(const DispatchRequest &request, Time now);
   /// Returns the pool's targets with a recent summary of the peers' loads.
@@ -400,6 +413,9 @@
   PrefixCacheTracker Caches;
   CrashQuarantine Quarantine;
   TargetStatements Statements;
+  Rollouts Versions;
+  /// The choice of the request at hand; none if versions are not distinguished.
+  std::optional<VersionChoice> AllowedVersions;
   bool IsPreferred = true;
   ReportRecipients Recipients;
   /// `Recipients.GroupPeers` as a set.
--- a/packages/routing/include/nutmegsill/routing/load_report.h
+++ b/packages/routing/include/nutmegsill/routing/load_report.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "nutmegsill/routing/crash_quarantine.h"
+#include "nutmegsill/routing/rollout.h"
 #include "nutmegsill/routing/target_statements.h"
 #include "nutmegsill/routing/team_share.h"
 #include "nutmegsill/types.h"
@@ -58,11 +59,13 @@
   std::vector<HostId> OverloadedHosts;
   QuarantineReport Quarantine;
   std::vector<StatementReport> Statements;
+  std::vector<RolloutReport> Rollouts = {};
 
-  /// Whether there is nothing to tell of targets, teams, crashes and limits.
+  /// Whether there is nothing to tell of targets, teams, crashes, limits and
+  /// roll-outs.
   bool isEmpty() const {
     return Targets.empty() && Teams.empty() && Quarantine.isEmpty() &&
-           Statements.empty();
+           Statements.empty() && Rollouts.empty();
   }
 };
 
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -16,9 +16,6 @@
 /// ejected.
 constexpr Duration BaseEjectionTime = milliseconds(500);
 constexpr Duration MaxEjectionTime = std::chrono::seconds(4);
-/// Time without progress after which a target with running requests is only
-/// used if there is no other.
-constexpr Duration StallTimeout = milliseconds(1'500);
 /// Fewest outstanding tokens from which a prefill rate is learned.
 constexpr double MinObservedTokens = 1'500;
 /// Bounds of the Retry-After of a request that was rejected as all targets are
@@ -34,10 +31,6 @@
 /// takes a few milliseconds each way, a request about 15 ms.
 constexpr double CrossZonePenalty = 0.6;
 
-bool contains(const std::vector<TargetId> &list, const TargetId &id) {
-  return std::find(list.begin(), list.end(), id) != list.end();
-}
-
 } // namespace
 
 const char *rejectionReasonName(RejectionReason reason) {
@@ -66,7 +59,7 @@
                        RetryBudgetPolicy budget)
     : Self(std::move(self)), Policy(policy), Budget(budget),
       Peers(policy.MaxReportAge), Caches(policy.PrefixCacheRetention),
-      Quarantine(Self), Statements(Self),
+      Quarantine(Self), Statements(Self), Versions(Self, policy.Rollout),
       Random(static_cast<std::uint32_t>(rendezvousWeight(Self, "")) | 1U) {}
 
 void Dispatcher::setView(std::shared_ptr<const FleetView> view, Time now) {
@@ -92,6 +85,7 @@
     processes.insert(processOf(state));
   }
   Statements.setFleet(processes, View->Routers.size(), now);
+  Versions.setView(*View, now);
   updatePools();
   updateMaxEngineCount();
   updateColdSenders();
@@ -195,6 +189,7 @@
   Quarantine.receive(report.Quarantine, relayed, now);
   if (!own) {
     Statements.receive(peer, std::move(report.Statements), now);
+    Versions.receive(peer, std::move(report.Rollouts), now);
   }
   if (peer != Self) {
     Peers.receiveReport(peer, std::move(report), now);
@@ -208,48 +203,6 @@
   }
 }
 
-bool Dispatcher::isEligible(TargetState &state, const DispatchRequest &request,
-                            Time now) {
-  const TargetEntry &entry = state.Known.Entry;
-  if (entry.Draining || state.Known.InEvacuatedZone ||
-      !Statements.isOpen(processOf(state), now) ||
-      contains(request.AttemptedTargets, entry.Target)) {
-    return false;
-  }
-  if (state.Known.ColdUntil <= now) {
-    return true;
-  }
-  const PoolRule *pool = View->Config->findPool(entry.Pool);
-  if (pool == nullptr || pool->ColdRequestRate <= 0) {
-    return true;
-  }
-  if (!state.MaySendWhileCold) {
-    return false;
-  }
-  const double rate =
-      pool->ColdRequestRate * Policy.ColdRateFraction / Policy.ColdSenderCount;
-  state.ColdPermits =
-      std::min(1.0, state.ColdPermits +
-                        rate * toSeconds(now - state.ColdPermitsUpdatedAt));
-  state.ColdPermitsUpdatedAt = now;
-  return state.ColdPermits >= 1.0;
-}
-
-std::vector<Dispatcher::TargetState *>
-Dispatcher::candidates(const DispatchRequest &request, Time now) {
-  std::vector<TargetState *> available;
-  std::vector<TargetState *> fallback;
-  for (TargetState *it : poolState(request.Pool, now).Targets) {
-    if (!isEligible(*it, request, now)) {
-      continue;
-    }
-    const bool stalled =
-        it->RunningRequests > 0 && now - it->LastProgressAt > StallTimeout;
-    (it->EjectedUntil > now || stalled ? fallback : available).push_back(it);
-  }
-  return available.empty() ? fallback : available;
-}
-
 Rejection Dispatcher::rejectWithoutTarget(const DispatchRequest &request,
                                           Duration retryAfter, Time now) {
   std::optional<Duration> pause;
@@ -298,6 +251,9 @@
   out.Pool = request.Pool;
   out.StatedRate = Statements.statedRate(processOf(state));
   out.SentAt = now;
+  if (AllowedVersions) {
+    out.Rollout = Versions.recordSent(request.Route->Name, state.Known.Entry);
+  }
   out.OldestReportAgeMs =
       std::chrono::duration_cast<milliseconds>(Peers.oldestReportAge(now))
           .count();
@@ -314,10 +270,7 @@
   if (const std::optional<Rejection> it = rejectQuarantined(request, now)) {
     return *it;
   }
-  const PoolRule *pool = View->Config->findPool(request.Pool);
-  DispatchDecision decision = pool != nullptr && pool->Engine
-                                  ? chooseEngine(request, now)
-                                  : chooseService(request, now);
+  DispatchDecision decision = chooseByVersion(request, now);
   if (Assignment *it = std::get_if<Assignment>(&decision)) {
     it->IsTrial = Quarantine.recordSent(suspectOf(request), now);
     if (request.IsRetry) {
@@ -377,6 +330,9 @@
   }
   assignment.PrefillTokens = 0;
   assignment.OutstandingTokens = 0;
+  if (assignment.Rollout && !assignment.Rollout->FirstPartAt) {
+    assignment.Rollout->FirstPartAt = now;
+  }
 }
 
 void Dispatcher::recordFirstEvent(TargetState &state,
@@ -393,6 +349,7 @@
 
 void Dispatcher::recordResult(Assignment &assignment, ExchangeResult result,
                               Time now) {
+  recordVersionResult(assignment, result, now);
   TargetState *known = assignedTarget(assignment);
   if (known == nullptr) {
     return;
@@ -436,18 +393,11 @@
                   assignment.SentAt, now);
 }
 
-std::vector<FleetChange> Dispatcher::takeChanges() {
-  std::vector<FleetChange> out = Quarantine.takeChanges();
-  for (FleetChange &it : Statements.takeChanges()) {
-    out.push_back(std::move(it));
-  }
-  return out;
-}
-
 OutgoingReports Dispatcher::collectReports(Time now, bool forRemotePeers) {
   Caches.expire(now);
   Peers.expire(now);
   Quarantine.update(now);
+  updateVersions(now);
   OutgoingReports out;
   out.Recipients = Recipients;
   for (const auto &[id, state] : Targets) {
@@ -462,12 +412,15 @@
     }
   }
   out.OwnReport.Statements = Statements.ownReport(now);
+  out.OwnReport.Rollouts = Versions.ownReport(now);
   if (forRemotePeers) {
     out.GroupReport = Peers.aggregateWith(out.OwnReport, Recipients.GroupPeers);
     out.GroupReport.PromptsSent = UnreportedGroupPrompts.take();
     out.GroupReport.Quarantine = Quarantine.takeGroupReport(now);
     out.GroupReport.Statements = Statements.groupReport(
         out.OwnReport.Statements, Recipients.GroupPeers, now);
+    out.GroupReport.Rollouts = Versions.groupReport(out.OwnReport.Rollouts,
+                                                    Recipients.GroupPeers, now);
   } else {
     out.Recipients.RemotePeers.clear();
   }
--- a/packages/routing/src/request_lifecycle.cpp
+++ b/packages/routing/src/request_lifecycle.cpp
@@ -62,6 +62,8 @@
   if (Assignment *it = std::get_if<Assignment>(&decision)) {
     releaseReserved(dispatcher, now);
     Reserved = std::move(*it);
+    // Its time starts before it is sent, and tells nothing of a version.
+    Reserved->Rollout.reset();
   }
   return Reserved.has_value();
 }
