Move pools to ordered versions in the gateway

Cause: the decisions on roll-outs did not reach other routers, the store and operators.

Settings exposure_share, exposure_extra and rollback_ms turn roll-outs on; log lines, a gauge of the share, and a section of the status command show them.

--- a/packages/ctl/src/fleet_status.cpp
+++ b/packages/ctl/src/fleet_status.cpp
@@ -48,6 +48,17 @@
 struct StatusWriter {
   Json &Root;
 
+  /// The row of a pool's roll-out; order and status are items of their own.
+  Json &rolloutOf(const PoolId &pool) const {
+    for (Json &row : Root["rollouts"]) {
+      if (row["pool"] == pool.Text) {
+        return row;
+      }
+    }
+    Root["rollouts"].push_back({{"pool", pool.Text}});
+    return Root["rollouts"].back();
+  }
+
   void operator()(const ConfigUpdated &it) const {
     Root["configuration"] = {{"number", it.Config->Revision.Value},
                              {"routes", it.Config->Routes.size()},
@@ -64,6 +75,7 @@
          {"zone", it.Entry.Zone.Text},
          {"address", it.Entry.Address},
          {"draining", it.Entry.Draining},
+         {"version", it.Entry.Version},
          {"cold_ms", toMilliseconds(it.Entry.RemainingColdTime)}});
   }
   void operator()(const RouterUpdated &it) const {
@@ -71,6 +83,20 @@
                                {"zone", it.Entry.Zone.Text},
                                {"address", it.Entry.CallerAddress}});
   }
+  void operator()(const RolloutOrderUpdated &it) const {
+    if (it.Order) {
+      Json &row = rolloutOf(it.Pool);
+      row["to"] = it.Order->To;
+      row["deadline_s"] = toSeconds(it.Order->Deadline);
+    }
+  }
+  void operator()(const RolloutStatusUpdated &it) const {
+    if (it.Status) {
+      Json &row = rolloutOf(it.Pool);
+      row["state"] = rolloutStateName(it.Status->State);
+      row["state_of"] = it.Status->To;
+    }
+  }
   void operator()(const UnreadableItem &it) const {
     Root["unreadable"].push_back({{"key", it.Key}, {"reason", it.Reason}});
   }
@@ -94,11 +120,9 @@
 
 void printStatus(const std::vector<StoreUpdate> &updates, bool asJson,
                  std::ostream &out) {
-  Json root{{"configuration", nullptr},
-            {"routers", Json::array()},
-            {"targets", Json::array()},
-            {"zones_out", Json::array()},
-            {"unreadable", Json::array()}};
+  Json root{{"configuration", nullptr},  {"routers", Json::array()},
+            {"targets", Json::array()},  {"zones_out", Json::array()},
+            {"rollouts", Json::array()}, {"unreadable", Json::array()}};
   for (const StoreUpdate &it : updates) {
     std::visit(StatusWriter{root}, it);
   }
--- a/packages/ctl/test/fleet_status_test.cpp
+++ b/packages/ctl/test/fleet_status_test.cpp
@@ -36,6 +36,18 @@
   }
 }
 
+// Guards against roll-outs that operators cannot see.
+TEST_CASE_METHOD(FleetStatusFixture, "fleet_status_shows_each_rollout") {
+  const PoolId pool{"desk"};
+  const std::string text = print(
+      {RolloutOrderUpdated{pool, RolloutOrder{"v2", std::chrono::seconds(60)}},
+       RolloutStatusUpdated{pool, RolloutStatus{RolloutState::Reverted, "v2"}}},
+      false);
+  CHECK(text.find(R"({"pool":"desk","to":"v2","deadline_s":60.0,)"
+                  R"("state":"reverted","state_of":"v2"})") !=
+        std::string::npos);
+}
+
 // Guards against a log line that ends the tool by its depth.
 TEST_CASE_METHOD(FleetStatusFixture, "explain_deeply_nested_line_is_skipped") {
   std::istringstream log(
--- a/packages/gateway/src/control_server.cpp
+++ b/packages/gateway/src/control_server.cpp
@@ -83,6 +83,7 @@
   }
   server->OwnRegistration.emplace(server->Io, *server->Watcher,
                                   server->makeOwnEntry(), settings.MinLeaseTtl);
+  server->Rollouts.emplace(server->Io, *server->Watcher, settings.Host);
   boost::system::error_code ec;
   server->DirectoryAcceptor =
       listenAt(server->Io, settings.DirectoryEndpoint, ec);
@@ -152,6 +153,7 @@
   Preferred = preferredRouters(View->Routers);
   SharingGroup = storeSharingGroup(View->Routers, Settings.Host);
   Watcher->setGroup(SharingGroup);
+  Rollouts->setView(View);
 }
 
 bool ControlServer::queriesCacheOf(const TargetId &target) const {
@@ -265,6 +267,13 @@
   }
 }
 
+void ControlServer::setRolloutDecisions(
+    std::vector<RolloutDecision> decisions) {
+  asio::post(Io, [this, decisions = std::move(decisions)]() mutable {
+    Rollouts->setDecisions(std::move(decisions));
+  });
+}
+
 RouterHealth ControlServer::healthOf(const RouterEntry &router,
                                      Time now) const {
   RouterHealth out;
--- a/packages/gateway/src/control_server.h
+++ b/packages/gateway/src/control_server.h
@@ -9,6 +9,7 @@
 #include "nutmegsill/routing/entry_routers.h"
 #include "peer_socket.h"
 #include "registration.h"
+#include "rollout_writer.h"
 #include "settings.h"
 #include "shared_state.h"
 
@@ -51,6 +52,8 @@
   }
   /// Sends load reports to other routers. Callable from any thread.
   void sendLoadReports(routing::OutgoingReports reports);
+  /// Sets what the store should hold on roll-outs. Callable from any thread.
+  void setRolloutDecisions(std::vector<routing::RolloutDecision> decisions);
 
   boost::asio::io_context &context() { return Io; }
 
@@ -86,6 +89,7 @@
   IncarnationId OwnIncarnation;
   std::unique_ptr<StoreWatcher> Watcher;
   std::optional<Registration> OwnRegistration;
+  std::optional<RolloutWriter> Rollouts;
   HttpClient EngineClient;
   std::unique_ptr<PeerSocket> Peers;
   /// The other routers with which this one shares the reading of the store.
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -46,6 +46,26 @@
   }
 }
 
+void encode(const routing::RolloutReport &report, wire::RolloutReport &out) {
+  out.set_pool(report.Pool.Text);
+  out.set_version(report.To);
+  out.set_order_age_ms(ageToWire(report.OrderAge));
+  out.set_verdict(static_cast<std::uint32_t>(report.Verdict));
+  out.set_gateways(report.Routers);
+  out.set_moved(report.MovedRouters);
+  for (const auto &[key, count] : report.Counts) {
+    wire::RolloutCount *entry = out.add_counts();
+    entry->set_stage(static_cast<std::uint32_t>(key.Stage));
+    entry->set_route(key.Route);
+    entry->set_group(key.Group);
+    entry->set_requests(count.Requests);
+    entry->set_responses(count.Responses);
+    entry->set_bad(count.Bad);
+    entry->set_first_seconds(count.FirstSeconds);
+    entry->set_total_seconds(count.TotalSeconds);
+  }
+}
+
 void encode(const routing::LoadReport &report, wire::PeerMessage &message) {
   wire::LoadReport &out = *message.mutable_load();
   for (const routing::TargetLoad &it : report.Targets) {
@@ -85,6 +105,9 @@
     entry->set_sent(it.Sent);
     entry->set_leaving(it.Leaving);
   }
+  for (const routing::RolloutReport &it : report.Rollouts) {
+    encode(it, *out.add_rollout_counts());
+  }
 }
 
 void encode(const routing::RelayedChanges &changes,
@@ -170,6 +193,32 @@
 
 bool isRate(double value) { return std::isfinite(value) && value >= 0; }
 
+std::optional<routing::RolloutReport> decode(const wire::RolloutReport &in) {
+  routing::RolloutReport report;
+  if (in.verdict() >
+      static_cast<std::uint32_t>(routing::RolloutState::Reverted)) {
+    return std::nullopt;
+  }
+  report.Pool = PoolId{in.pool()};
+  report.To = in.version();
+  report.OrderAge = milliseconds(in.order_age_ms());
+  report.Verdict = static_cast<routing::RolloutState>(in.verdict());
+  report.Routers = in.gateways();
+  report.MovedRouters = in.moved();
+  for (const wire::RolloutCount &it : in.counts()) {
+    const bool valid = it.stage() <= static_cast<std::uint32_t>(
+                                         routing::RolloutStage::Moved) &&
+                       isRate(it.first_seconds()) && isRate(it.total_seconds());
+    if (!valid) {
+      return std::nullopt;
+    }
+    report.Counts[{static_cast<routing::RolloutStage>(it.stage()), it.route(),
+                   it.group()}] += {it.requests(), it.responses(), it.bad(),
+                                    it.first_seconds(), it.total_seconds()};
+  }
+  return report;
+}
+
 std::optional<PeerMessage> decode(const wire::LoadReport &in) {
   routing::LoadReport report;
   for (const wire::TargetLoad &it : in.targets()) {
@@ -207,6 +256,13 @@
          it.sent(),
          it.leaving()});
   }
+  for (const wire::RolloutReport &it : in.rollout_counts()) {
+    std::optional<routing::RolloutReport> rollout = decode(it);
+    if (!rollout) {
+      return std::nullopt;
+    }
+    report.Rollouts.push_back(std::move(*rollout));
+  }
   return report;
 }
 
--- a/packages/gateway/src/settings.cpp
+++ b/packages/gateway/src/settings.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace nutmegsill::gateway {
 
 using nlohmann::json;
@@ -105,6 +107,15 @@
       reader.readSeconds("retry_window_s", out.RetryBudget.Window);
   out.RetryBudget.ExtraRetries =
       static_cast<std::uint32_t>(reader.readNumber("retry_extra", 0));
+  const double share = reader.readNumber("exposure_share", 0);
+  if (share > 0) {
+    routing::RolloutPolicy policy;
+    policy.ExposureShare = std::min(1.0, share);
+    policy.ExposureExtra =
+        reader.readNumber("exposure_extra", policy.ExposureExtra);
+    policy.RollbackTime = reader.readMillis("rollback_ms", policy.RollbackTime);
+    out.Rollout = policy;
+  }
 }
 
 } // namespace
--- a/packages/gateway/src/settings.h
+++ b/packages/gateway/src/settings.h
@@ -3,6 +3,7 @@
 
 #include "nutmegsill/http_client.h"
 #include "nutmegsill/routing/retry_budget.h"
+#include "nutmegsill/routing/rollout.h"
 #include "peer_socket.h"
 
 #include <optional>
@@ -21,6 +22,8 @@
   /// Longest TTL of a directory response.
   std::chrono::seconds MaxAddressTtl{5};
   routing::RetryBudgetPolicy RetryBudget;
+  /// Set where the operators roll out versions.
+  std::optional<routing::RolloutPolicy> Rollout;
 };
 
 struct GatewaySettings {
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -33,6 +33,12 @@
 /// smallest hosts, 88 MB.
 constexpr std::size_t MaxBufferedResponseBytes = 16U << 20U;
 
+routing::DispatchPolicy dispatchPolicy(const GatewaySettings &settings) {
+  routing::DispatchPolicy out;
+  out.Rollout = settings.Bounds.Rollout;
+  return out;
+}
+
 } // namespace
 
 const std::shared_ptr<const routing::FleetView> &
@@ -59,7 +65,7 @@
     : Context{settings,
               shared,
               metrics,
-              routing::Dispatcher(settings.Host, {},
+              routing::Dispatcher(settings.Host, dispatchPolicy(settings),
                                   settings.Bounds.RetryBudget),
               {},
               BufferBudget(MaxBufferedResponseBytes),
@@ -137,12 +143,14 @@
       nextRemoteReportAt =
           now + intervals.ToRemotePeers - intervals.ToGroup / 2;
     }
+    Context.Dispatcher.rollouts().setStoreAge(Context.Shared.configAge(now));
     routing::OutgoingReports reports =
         Context.Dispatcher.collectReports(now, forRemotePeers);
     for (const routing::FleetChange &it : Context.Dispatcher.takeChanges()) {
       Context.Counters.countFleetChange(it.Event);
       logLine("belief", it.Event, it.Fields);
     }
+    publishRollouts();
     if (Context.Overload.isOverloaded()) {
       reports.OwnReport.OverloadedHosts.push_back(Context.Settings.Host);
       reports.GroupReport.OverloadedHosts.push_back(Context.Settings.Host);
@@ -166,6 +174,18 @@
   }
 }
 
+void TrafficServer::publishRollouts() {
+  routing::Rollouts &rollouts = Context.Dispatcher.rollouts();
+  for (const auto &[pool, share] : rollouts.shares()) {
+    Context.Counters.setRolloutShare(pool.Text, share);
+  }
+  std::vector<routing::RolloutDecision> decisions = rollouts.decisions();
+  if (decisions != RolloutDecisions) {
+    RolloutDecisions = std::move(decisions);
+    Control.setRolloutDecisions(RolloutDecisions);
+  }
+}
+
 void TrafficServer::recordLag(Duration lag, Time now) {
   if (now >= NextTargetCheckAt) {
     NextTargetCheckAt = now + TargetCheckInterval;
--- a/packages/gateway/src/traffic_server.h
+++ b/packages/gateway/src/traffic_server.h
@@ -64,6 +64,8 @@
                 Metrics &metrics, ControlServer &control);
   boost::asio::awaitable<void> reportLoad();
   void recordLag(Duration lag, Time now);
+  /// Hands on what was decided on roll-outs.
+  void publishRollouts();
   boost::asio::awaitable<void> runStop(routing::StopSchedule schedule,
                                        std::function<void()> onStopped);
 
@@ -76,6 +78,8 @@
   std::size_t ListeningPauses = 0;
   Time NextOverloadLogAt{};
   Time NextTargetCheckAt{};
+  /// As last handed on.
+  std::vector<routing::RolloutDecision> RolloutDecisions;
   std::thread Thread;
 };
 
--- a/packages/gateway/test/peer_codec_test.cpp
+++ b/packages/gateway/test/peer_codec_test.cpp
@@ -45,6 +45,33 @@
   CHECK(passed);
 }
 
+TEST_CASE_METHOD(PeerCodecFixture, "peer_codec_rollout_round_trips") {
+  routing::RolloutReport rollout;
+  rollout.Pool = PoolId{"desk"};
+  rollout.To = "v2";
+  rollout.OrderAge = milliseconds(1'234);
+  rollout.Verdict = routing::RolloutState::Reverted;
+  rollout.Routers = 9;
+  rollout.MovedRouters = 4;
+  rollout.Counts[{routing::RolloutStage::Load, "safe", 3}] = {5, 4, 2, 0.5, 1};
+  routing::LoadReport report;
+  report.Rollouts = {rollout};
+  CHECK_FALSE(report.isEmpty());
+  const std::optional<routing::LoadReport> decoded = roundTrip(report);
+  REQUIRE(decoded);
+  REQUIRE(decoded->Rollouts.size() == 1);
+  const routing::RolloutReport &out = decoded->Rollouts[0];
+  CHECK(out.Pool == rollout.Pool);
+  CHECK(out.To == rollout.To);
+  CHECK(out.OrderAge == rollout.OrderAge);
+  CHECK(out.Verdict == rollout.Verdict);
+  CHECK(out.Routers == 9);
+  CHECK(out.MovedRouters == 4);
+  CHECK(out.Counts == rollout.Counts);
+  report.Rollouts[0].Counts.begin()->second.TotalSeconds = -1;
+  CHECK_FALSE(roundTrip(report));
+}
+
 TEST_CASE_METHOD(PeerCodecFixture, "peer_codec_quarantine_round_trips") {
   routing::LoadReport report;
   using routing::CrashCause;
--- a/packages/gateway/test/settings_test.cpp
+++ b/packages/gateway/test/settings_test.cpp
@@ -39,6 +39,18 @@
   CHECK(result.Value->Bounds.RevocationBound == milliseconds(5'000));
 }
 
+TEST_CASE_METHOD(SettingsFixture, "settings_exposure_bounds_turn_rollouts_on") {
+  CHECK_FALSE(parseGatewaySettings(ValidSettings.dump()).Value->Bounds.Rollout);
+  ValidSettings["bounds"] = {{"exposure_share", 0.2}, {"rollback_ms", 4'000}};
+  const GatewaySettingsResult result =
+      parseGatewaySettings(ValidSettings.dump());
+  REQUIRE(result.Value);
+  REQUIRE(result.Value->Bounds.Rollout);
+  CHECK(result.Value->Bounds.Rollout->ExposureShare == 0.2);
+  CHECK(result.Value->Bounds.Rollout->ExposureExtra == 50);
+  CHECK(result.Value->Bounds.Rollout->RollbackTime == milliseconds(4'000));
+}
+
 TEST_CASE_METHOD(SettingsFixture, "settings_unknown_member_is_ignored") {
   ValidSettings["gateway"]["colour"] = 7;
   CHECK(parseGatewaySettings(ValidSettings.dump()).Value);
--- a/packages/process/src/metrics.cpp
+++ b/packages/process/src/metrics.cpp
@@ -70,6 +70,11 @@
                      .Name("nutmegsill_event_loop_lag_seconds")
                      .Help("Time by which the timers of a thread run late")
                      .Register(*Registry)),
+        RolloutShares(prometheus::BuildGauge()
+                          .Name("nutmegsill_rollout_share")
+                          .Help("Share of a pool's requests that go to the "
+                                "version that is rolled out")
+                          .Register(*Registry)),
         OpenRequests(prometheus::BuildGauge()
                          .Name("nutmegsill_open_requests")
                          .Help("Requests that are being served")
@@ -91,6 +96,7 @@
   Family<Histogram> &FirstPartLatency;
   Family<Gauge> &StateAges;
   Family<Gauge> &LoopLags;
+  Family<Gauge> &RolloutShares;
   Gauge &OpenRequests;
 };
 
@@ -152,6 +158,10 @@
   Impl->OpenRequests.Set(static_cast<double>(count));
 }
 
+void Metrics::setRolloutShare(const std::string &pool, double share) {
+  Impl->RolloutShares.Add({{"pool", pool}}).Set(share);
+}
+
 void Metrics::countFleetChange(const std::string &change) {
   Impl->FleetChanges.Add({{"what", change}}).Increment();
 }
--- a/packages/process/src/metrics.h
+++ b/packages/process/src/metrics.h
@@ -32,6 +32,9 @@
   /// Sets how late, in `seconds`, the timers of an event loop run.
   void setLoopLag(const std::string &loop, double seconds);
   void setOpenRequests(std::size_t count);
+  /// Sets the share of a pool's requests that this router sends to the version
+  /// that is rolled out.
+  void setRolloutShare(const std::string &pool, double share);
   void countFleetChange(const std::string &change);
   /// Counts the times that callers' connections were refused until the next
   /// probe for lack of processor time.
--- a/packages/routing/include/nutmegsill/routing/rollout_evidence.h
+++ b/packages/routing/include/nutmegsill/routing/rollout_evidence.h
@@ -96,9 +96,10 @@
   std::set<std::uint32_t> FaultyGroups;
 };
 
-/// `newTargets` is the number of targets of the new version.
+/// `newGroups` is the number of groups of targets of the new version; the fault
+/// of a target cannot be told from that of the version if there is one.
 RolloutFinding compareVersions(const RolloutCounts &counts,
-                               std::size_t newTargets,
+                               std::size_t newGroups,
                                const RolloutEvidencePolicy &policy);
 
 /// Mean times of a response of the previous version.
--- a/packages/routing/src/rollout.cpp
+++ b/packages/routing/src/rollout.cpp
@@ -71,6 +71,12 @@
   it.StartedAt = now;
   it.HeardAt = now;
   it.HasNoPrevious = true;
+  // A version that another one replaces since may be rolled out again; one that
+  // was reverted stays so.
+  std::erase_if(Verdicts, [&](const auto &verdict) {
+    return verdict.first.first == pool && verdict.first.second != order.To &&
+           verdict.second == RolloutState::Complete;
+  });
   const auto known = Verdicts.find({pool, order.To});
   if (known != Verdicts.end()) {
     it.Verdict = known->second;
@@ -101,8 +107,10 @@
     it->second.ConfirmedAt = it->second.ConfirmedAt.value_or(now);
     return;
   }
-  // The first verdict that the store held is the one that counts.
-  if (ordered && it->second.ConfirmedAt) {
+  // The first verdict that the store held is the one that counts. That an
+  // earlier version is complete says nothing once another one is ordered.
+  const bool isEarlier = !ordered && status.State == RolloutState::Complete;
+  if (isEarlier || (ordered && it->second.ConfirmedAt)) {
     return;
   }
   Verdicts[{pool, status.To}] = status.State;
@@ -117,6 +125,7 @@
   }
   if (ordered) {
     it->second.Verdict = status.State;
+    it->second.Share = status.State == RolloutState::Complete ? 1 : 0;
     it->second.ConfirmedAt = now;
   }
 }
--- a/packages/routing/src/rollout_decision.cpp
+++ b/packages/routing/src/rollout_decision.cpp
@@ -74,8 +74,12 @@
 void Rollouts::judge(const PoolId &pool, Rollout &it, const FleetSum &sum,
                      Time now) {
   it.Usual = usualResponseTimes(sum.Counts, Policy->Evidence);
+  std::set<std::uint32_t> groups;
+  for (const TargetId &target : it.NewTargets) {
+    groups.insert(rolloutGroup(target));
+  }
   const RolloutFinding finding =
-      compareVersions(sum.Counts, it.NewTargets.size(), Policy->Evidence);
+      compareVersions(sum.Counts, groups.size(), Policy->Evidence);
   if (finding.IsBad) {
     setVerdict(pool, it, RolloutState::Reverted,
                std::to_string(finding.Bad) + " bad of " +
--- a/packages/routing/src/rollout_evidence.cpp
+++ b/packages/routing/src/rollout_evidence.cpp
@@ -65,7 +65,7 @@
 /// Adds what the sums of one route, or of all, show to `out`.
 void judge(const std::string &route,
            const std::map<std::uint32_t, GroupSum> &groups,
-           std::size_t newTargets, const RolloutEvidencePolicy &policy,
+           std::size_t newGroups, const RolloutEvidencePolicy &policy,
            RolloutFinding &out) {
   GroupSum all;
   const GroupSum *worst = nullptr;
@@ -85,7 +85,7 @@
   }
   const double elsewhere = all.Bad - worst->Bad;
   const double expectedElsewhere = all.Expected - worst->Expected;
-  if (newTargets > 1 &&
+  if (newGroups > 1 &&
       !exceeds(elsewhere, expectedElsewhere, policy.MinBadElsewhere, policy)) {
     out.FaultyGroups.insert(worstGroup);
     return;
@@ -138,7 +138,7 @@
 }
 
 RolloutFinding compareVersions(const RolloutCounts &counts,
-                               std::size_t newTargets,
+                               std::size_t newGroups,
                                const RolloutEvidencePolicy &policy) {
   const PreviousVersion previous(counts, policy);
   std::map<std::uint32_t, GroupSum> all;
@@ -155,9 +155,9 @@
     }
   }
   RolloutFinding out;
-  judge("", all, newTargets, policy, out);
+  judge("", all, newGroups, policy, out);
   for (const auto &[route, groups] : byRoute) {
-    judge(route, groups, newTargets, policy, out);
+    judge(route, groups, newGroups, policy, out);
   }
   return out;
 }
--- a/packages/routing/test/rollout_test.cpp
+++ b/packages/routing/test/rollout_test.cpp
@@ -82,6 +82,32 @@
   CHECK_FALSE(mayGet(0));
 }
 
+// Guards against a version that is complete at once as it was so before.
+TEST_CASE_METHOD(RolloutFixture, "rollout_earlier_version_is_observed_again") {
+  order("v2");
+  state(RolloutState::Complete, "v2");
+  order("v1");
+  state(RolloutState::Complete, "v1");
+  order("v2");
+  CHECK(mayGet(0));
+  CHECK_FALSE(mayGet(1));
+}
+
+// Guards against a bad version that is taken for the fault of one target, as
+// all its targets are of one group.
+TEST_CASE("rollout_evidence_of_single_group_condemns_version") {
+  const RolloutEvidencePolicy policy;
+  RolloutCounts counts;
+  counts[{RolloutStage::Observation, "a", 0}] = {500, 500, 0, 15, 15};
+  counts[{RolloutStage::Observation, "a", 4}] = {40, 40, 13, 1, 1};
+  CHECK(compareVersions(counts, 1, policy).IsBad);
+  const RolloutFinding one = compareVersions(counts, 2, policy);
+  CHECK_FALSE(one.IsBad);
+  CHECK(one.FaultyGroups == std::set<std::uint32_t>{4});
+  counts[{RolloutStage::Observation, "a", 5}] = {40, 40, 12, 1, 1};
+  CHECK(compareVersions(counts, 2, policy).IsBad);
+}
+
 // Guards against writes that replace a verdict or belong to another order.
 TEST_CASE("rollout_status_is_written_for_its_order_only") {
   const RolloutDecision reverted{PoolId{"p"}, {RolloutState::Reverted, "v2"}};
--- a/packages/standins/src/local_fleet.cpp
+++ b/packages/standins/src/local_fleet.cpp
@@ -90,7 +90,7 @@
   addresses.ReadinessAddress = freeLoopbackAddress();
   addresses.DirectoryAddress = freeLoopbackAddress();
   addresses.MetricsAddress = freeLoopbackAddress();
-  const json settings{
+  json settings{
       {"gateway",
        {{"host", addresses.Host},
         {"zone", "zone-a"},
@@ -107,6 +107,7 @@
         {"retry_ratio", 0.2},
         {"retry_window_s", 10},
         {"retry_extra", 50}}}};
+  settings["bounds"].update(json::parse(ExtraBounds));
   const std::string path = TempDir + "/" + addresses.Host + ".json";
   std::ofstream(path) << settings.dump();
   RouterProcesses.push_back(launchRouter(addresses.Host));
--- a/packages/standins/src/local_fleet.h
+++ b/packages/standins/src/local_fleet.h
@@ -78,6 +78,9 @@
   std::vector<Process> RouterProcesses;
   /// Directory of the routers' settings and logs.
   std::string TempDir;
+  /// Members added to the bounds in the settings of routers added from now on,
+  /// as a JSON object.
+  std::string ExtraBounds = "{}";
   /// Revocation bound in the settings of routers added from now on, in
   /// milliseconds.
   int RevocationBoundMs = 5000;
--- a/packages/standins/src/target_standin.h
+++ b/packages/standins/src/target_standin.h
@@ -110,6 +110,8 @@
   ~TargetStandin();
 
   void setMode(TargetMode mode);
+  /// Sets the version in the target's entry; call before `entryJson`.
+  void setVersion(std::string version) { Version = std::move(version); }
   /// Sets header lines of all responses, each with its line end; 421 does not
   /// get them.
   void setResponseFields(std::string lines);
@@ -174,6 +176,7 @@
   const std::string Id;
   const std::string Service;
   const std::string Address;
+  std::string Version = "v1";
   mutable std::mutex Mutex;
   TargetMode Mode = TargetMode::Serving;
   std::chrono::milliseconds EventPause{2};
