--- a/packages/routing/src/rollout.cpp
+++ b/packages/routing/src/rollout.cpp
@@ -323,6 +323,7 @@
 
 std::vector<RolloutDecision> Rollouts::decisions() const {
   std::vector<RolloutDecision> out;
+  out.reserve(Active.size());
   for (const auto &[pool, it] : Active) {
     out.push_back({pool, {it.Verdict, it.Order.To}});
   }
--- a/packages/routing/src/rollout_decision.cpp
+++ b/packages/routing/src/rollout_decision.cpp
@@ -3,6 +3,7 @@
 #include "nutmegsill/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace nutmegsill::routing {
 
@@ -15,8 +16,10 @@
   return age >= start && age < start + length;
 }
 
+bool isMost(std::size_t part, std::size_t all) { return 2 * part > all; }
+
 std::string shareText(double share) {
-  return std::to_string(static_cast<int>(share * 1000 + 0.5)) + "/1000";
+  return std::to_string(std::lround(share * 1000)) + "/1000";
 }
 
 } // namespace
@@ -110,7 +113,7 @@
   const bool observed = sum.ExposedResponses >= Policy->MinObserved ||
                         age >= Policy->LateObservationEnd;
   return age >= Policy->ObservationEnd && observed && isStoreCurrent() &&
-         2 * sum.Routers > RouterCount && !it.NewTargets.empty();
+         isMost(sum.Routers, RouterCount) && !it.NewTargets.empty();
 }
 
 void Rollouts::schedule(Rollout &it, const FleetSum &sum, Time now) const {
@@ -155,7 +158,7 @@
 }
 
 void Rollouts::limitShare(Rollout &it, const FleetSum &sum, Time now) const {
-  if (2 * sum.Routers > RouterCount) {
+  if (isMost(sum.Routers, RouterCount)) {
     it.HeardAt = now;
   }
   const bool moved = it.Stage == RolloutStage::Moved;
--- a/packages/routing/test/rollout_fleet.h
+++ b/packages/routing/test/rollout_fleet.h
@@ -4,6 +4,7 @@
 
 #include "fleet_fixture.h"
 
+#include <cmath>
 #include <functional>
 #include <map>
 #include <random>
@@ -180,8 +181,8 @@
     const ReportIntervals intervals =
         reportIntervals(it.Decider.reportRecipients());
     const auto ticks = [](Duration span) {
-      return std::max<std::size_t>(
-          1, static_cast<std::size_t>(toSeconds(span) / Step + 0.5));
+      return static_cast<std::size_t>(
+          std::max(1L, std::lround(toSeconds(span) / Step)));
     };
     const std::size_t group = ticks(intervals.ToGroup);
     if ((Ticks + i) % group == 0) {
