--- a/packages/gateway/src/settings.h
+++ b/packages/gateway/src/settings.h
@@ -4,6 +4,7 @@
 #include "nutmegsill/http_client.h"
 #include "nutmegsill/routing/hedging.h"
 #include "nutmegsill/routing/retry_budget.h"
+#include "nutmegsill/routing/rollout.h"
 #include "nutmegsill/routing/zone_homes.h"
 #include "peer_socket.h"
 
@@ -23,6 +24,8 @@
   /// Longest TTL of a directory response.
   std::chrono::seconds MaxAddressTtl{5};
   routing::RetryBudgetPolicy RetryBudget;
+  /// Set where the operators roll out versions.
+  std::optional<routing::RolloutPolicy> Rollout;
 };
 
 struct GatewaySettings {
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -38,6 +38,7 @@
 routing::DispatchPolicy dispatchPolicy(const GatewaySettings &settings) {
   routing::DispatchPolicy out;
   out.ZoneHomes = settings.ZoneHomes;
+  out.Rollout = settings.Bounds.Rollout;
   return out;
 }
 
@@ -192,6 +193,7 @@
       nextRemoteReportAt =
           now + intervals.ToRemotePeers - intervals.ToGroup / 2;
     }
+    Context.Dispatcher.rollouts().setStoreAge(Context.Shared.configAge(now));
     routing::OutgoingReports reports =
         Context.Dispatcher.collectReports(now, forRemotePeers);
     for (const routing::FleetChange &it : Context.Dispatcher.takeChanges()) {
@@ -209,6 +211,7 @@
       reports.OwnReport.Spare.push_back(*spare);
       reports.GroupReport.Spare.push_back(*spare);
     }
+    publishRollouts();
     if (Context.Overload.isOverloaded()) {
       reports.OwnReport.OverloadedHosts.push_back(Context.Settings.Host);
       reports.GroupReport.OverloadedHosts.push_back(Context.Settings.Host);
@@ -253,6 +256,18 @@
   return TakenOver->start();
 }
 
+void TrafficServer::publishRollouts() {
+  routing::Rollouts &rollouts = Context.Dispatcher.rollouts();
+  for (const auto &[pool, share] : rollouts.shares()) {
+    Context.Counters.setRolloutShare(pool.Text, share);
+  }
+  std::vector<routing::RolloutDecision> decisions = rollouts.decisions();
+  if (decisions != RolloutDecisions) {
+    RolloutDecisions = std::move(decisions);
+    Control.setRolloutDecisions(RolloutDecisions);
+  }
+}
+
 void TrafficServer::recordLag(Duration lag, Time now) {
   if (now >= NextTargetCheckAt) {
     NextTargetCheckAt = now + TargetCheckInterval;
--- a/packages/gateway/src/traffic_server.h
+++ b/packages/gateway/src/traffic_server.h
@@ -82,6 +82,8 @@
   /// Opens the address for hand-over, if it is set; returns why it failed.
   std::optional<std::string> startHandover();
   void recordLag(Duration lag, Time now);
+  /// Hands on what was decided on roll-outs.
+  void publishRollouts();
   boost::asio::awaitable<void> runStop(routing::StopSchedule schedule,
                                        std::function<void()> onStopped);
 
@@ -97,6 +99,8 @@
   std::size_t ListeningPauses = 0;
   Time NextOverloadLogAt{};
   Time NextTargetCheckAt{};
+  /// As last handed on.
+  std::vector<routing::RolloutDecision> RolloutDecisions;
   std::thread Thread;
 };
 
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -14,6 +14,7 @@
 #include "nutmegsill/routing/report_recipients.h"
 #include "nutmegsill/routing/request_identity.h"
 #include "nutmegsill/routing/retry_budget.h"
+#include "nutmegsill/routing/rollout.h"
 #include "nutmegsill/routing/service_load.h"
 #include "nutmegsill/routing/target_statements.h"
 #include "nutmegsill/routing/team_share.h"
@@ -76,6 +77,8 @@
   /// Expected time of the response of a plain target relative to the usual
   /// time; 0 if the target has stated no load.
   double TimeFactor = 0;
+  /// Set while the pool moves to another version.
+  std::optional<RolloutSample> Rollout = {};
 };
 
 /// Why no target was chosen for a request.
@@ -221,6 +224,8 @@
   /// The same fraction that a request that is late already may take at a
   /// target: it yields to those that can still be in time.
   double LateServiceFraction = 0.5;
+  /// Without it, orders to move a pool to another version are ignored.
+  std::optional<RolloutPolicy> Rollout = {};
 };
 
 /// The load reports of one interval and their recipients.
@@ -279,8 +284,8 @@
   bool mayRepeat(const DispatchRequest &request, Time now) const {
     return Quarantine.mayRepeat(suspectOf(request), now);
   }
-  /// Returns and clears the changes of the quarantine and of what targets
-  /// state.
+  /// Returns and clears the changes of the quarantine, of what targets state
+  /// and of roll-outs.
   std::vector<FleetChange> takeChanges();
 
   /// Returns the reports to send and clears the unreported prompts. Also
@@ -295,6 +300,8 @@
   Duration oldestReportAge(Time now) const {
     return Peers.oldestReportAge(now);
   }
+  /// The roll-outs of versions, for their decisions and the store's age.
+  Rollouts &rollouts() { return Versions; }
   /// Maximum number of connections from this router to one target of the pool:
   /// `PoolRule::MaxConnections` divided by the number of routers, at least 1; 0
   /// if the pool has no limit or is unknown.
@@ -367,6 +374,12 @@
   /// The target of an assignment; null if it is gone or another process.
   TargetState *assignedTarget(const Assignment &assignment);
   bool isEligible(TargetState &state, const DispatchRequest &request, Time now);
+  /// Chooses among the versions that a roll-out allows.
+  DispatchDecision chooseByVersion(const DispatchRequest &request, Time now);
+  DispatchDecision chooseByKind(const DispatchRequest &request, Time now);
+  void recordVersionResult(const Assignment &assignment, ExchangeResult result,
+                           Time now);
+  void updateVersions(Time now);
   DispatchDecision chooseEngine(const DispatchRequest &request, Time now);
   DispatchDecision chooseService(const DispatchRequest &request, Time now);
   /// Chooses by the requests in flight, if no target has stated its load.
@@ -484,6 +497,9 @@
   TargetStatements Statements;
   ServiceLoad Services;
   PlaceQueue Places;
+  Rollouts Versions;
+  /// The choice of the request at hand; none if versions are not distinguished.
+  std::optional<VersionChoice> AllowedVersions;
   bool IsPreferred = true;
   ReportRecipients Recipients;
   /// `Recipients.GroupPeers` as a set.
--- a/packages/routing/include/nutmegsill/routing/load_report.h
+++ b/packages/routing/include/nutmegsill/routing/load_report.h
@@ -4,6 +4,7 @@
 #include "nutmegsill/routing/crash_quarantine.h"
 #include "nutmegsill/routing/fleet_capacity.h"
 #include "nutmegsill/routing/handover.h"
+#include "nutmegsill/routing/rollout.h"
 #include "nutmegsill/routing/service_load.h"
 #include "nutmegsill/routing/target_statements.h"
 #include "nutmegsill/routing/team_share.h"
@@ -67,12 +68,14 @@
   std::vector<TargetStateReport> TargetStates;
   /// What was observed of the engines of each pool.
   std::vector<PoolService> PoolServices;
+  std::vector<RolloutReport> Rollouts = {};
 
-  /// Whether there is nothing to tell of targets, teams, crashes, limits and
-  /// engines.
+  /// Whether there is nothing to tell of targets, teams, crashes, limits,
+  /// engines and roll-outs.
   bool isEmpty() const {
     return Targets.empty() && Teams.empty() && Quarantine.isEmpty() &&
-           Statements.empty() && TargetStates.empty() && PoolServices.empty();
+           Statements.empty() && TargetStates.empty() && PoolServices.empty() &&
+           Rollouts.empty();
   }
 };
 
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -16,18 +16,12 @@
 /// ejected.
 constexpr Duration BaseEjectionTime = milliseconds(500);
 constexpr Duration MaxEjectionTime = std::chrono::seconds(4);
-/// Time without progress after which a target with running requests is only
-/// used if there is no other.
-constexpr Duration StallTimeout = milliseconds(1'500);
 /// Bounds of the Retry-After of a request that was rejected as all targets are
 /// at their limits.
 constexpr Duration MinLimitRetryAfter = milliseconds(300);
 constexpr Duration MaxLimitRetryAfter = std::chrono::seconds(5);
 /// Retry-After when the retry budget is exhausted.
 constexpr Duration ExhaustedBudgetRetryAfter = milliseconds(300);
-bool contains(const std::vector<TargetId> &list, const TargetId &id) {
-  return std::find(list.begin(), list.end(), id) != list.end();
-}
 
 } // namespace
 
@@ -57,7 +51,8 @@
                        RetryBudgetPolicy budget)
     : Self(std::move(self)), Policy(policy), Budget(budget),
       Peers(policy.MaxReportAge), Caches(policy.PrefixCacheRetention),
-      Quarantine(Self), Statements(Self), PartHomes(policy.ZoneHomes),
+      Quarantine(Self), Statements(Self), Versions(Self, policy.Rollout),
+      PartHomes(policy.ZoneHomes),
       Random(static_cast<std::uint32_t>(rendezvousWeight(Self, "")) | 1U) {}
 
 void Dispatcher::setView(std::shared_ptr<const FleetView> view, Time now) {
@@ -84,6 +79,7 @@
   }
   Statements.setFleet(processes, View->Routers.size(), now);
   Services.setFleet(processes);
+  Versions.setView(*View, now);
   updatePools();
   updateEngines();
   updateColdSenders();
@@ -179,6 +175,7 @@
   if (!own) {
     Services.receive(report.TargetStates, relayed, now);
     Statements.receive(peer, std::move(report.Statements), now);
+    Versions.receive(peer, std::move(report.Rollouts), now);
   }
   if (peer != Self) {
     Peers.receiveReport(peer, std::move(report), now);
@@ -192,52 +189,6 @@
   }
 }
 
-bool Dispatcher::isEligible(TargetState &state, const DispatchRequest &request,
-                            Time now) {
-  const TargetEntry &entry = state.Known.Entry;
-  if (entry.Draining || state.Known.InEvacuatedZone ||
-      !Statements.isOpen(processOf(state), now) ||
-      contains(request.AttemptedTargets, entry.Target)) {
-    return false;
-  }
-  if (state.Known.ColdUntil <= now) {
-    return true;
-  }
-  const PoolRule *pool = View->Config->findPool(entry.Pool);
-  if (pool == nullptr || pool->ColdRequestRate <= 0) {
-    return true;
-  }
-  if (!state.MaySendWhileCold) {
-    return false;
-  }
-  const double rate =
-      pool->ColdRequestRate * Policy.ColdRateFraction / Policy.ColdSenderCount;
-  state.ColdPermits =
-      std::min(1.0, state.ColdPermits +
-                        rate * toSeconds(now - state.ColdPermitsUpdatedAt));
-  state.ColdPermitsUpdatedAt = now;
-  return state.ColdPermits >= 1.0;
-}
-
-std::vector<Dispatcher::TargetState *>
-Dispatcher::candidates(const DispatchRequest &request, Time now) {
-  std::vector<TargetState *> available;
-  std::vector<TargetState *> fallback;
-  for (TargetState *it : poolState(request.Pool, now).Targets) {
-    if (!isEligible(*it, request, now)) {
-      continue;
-    }
-    const bool stalled =
-        it->RunningRequests > 0 && now - it->LastProgressAt > StallTimeout;
-    const bool avoided = it->EjectedUntil > now || stalled;
-    if (request.IsHedge && (avoided || it->Known.ColdUntil > now)) {
-      continue;
-    }
-    (avoided ? fallback : available).push_back(it);
-  }
-  return available.empty() ? fallback : available;
-}
-
 Rejection Dispatcher::rejectWithoutTarget(const DispatchRequest &request,
                                           Duration retryAfter, Time now) {
   std::optional<Duration> pause;
@@ -286,6 +237,9 @@
   out.Pool = request.Pool;
   out.StatedRate = Statements.statedRate(processOf(state));
   out.SentAt = now;
+  if (AllowedVersions) {
+    out.Rollout = Versions.recordSent(request.Route->Name, state.Known.Entry);
+  }
   out.OldestReportAgeMs =
       std::chrono::duration_cast<milliseconds>(Peers.oldestReportAge(now))
           .count();
@@ -302,10 +256,7 @@
   if (const std::optional<Rejection> it = rejectQuarantined(request, now)) {
     return *it;
   }
-  const PoolRule *pool = View->Config->findPool(request.Pool);
-  DispatchDecision decision = pool != nullptr && pool->Engine
-                                  ? chooseEngine(request, now)
-                                  : chooseService(request, now);
+  DispatchDecision decision = chooseByVersion(request, now);
   if (Assignment *it = std::get_if<Assignment>(&decision)) {
     it->IsTrial = Quarantine.recordSent(suspectOf(request), now);
     if (request.IsRetry) {
@@ -334,10 +285,14 @@
   }
   assignment.PrefillTokens = 0;
   assignment.OutstandingTokens = 0;
+  if (assignment.Rollout && !assignment.Rollout->FirstPartAt) {
+    assignment.Rollout->FirstPartAt = now;
+  }
 }
 
 void Dispatcher::recordResult(Assignment &assignment, ExchangeResult result,
                               Time now) {
+  recordVersionResult(assignment, result, now);
   TargetState *known = assignedTarget(assignment);
   if (known == nullptr) {
     return;
@@ -383,25 +338,12 @@
                   assignment.SentAt, now);
 }
 
-std::vector<FleetChange> Dispatcher::takeChanges() {
-  std::vector<FleetChange> out = Quarantine.takeChanges();
-  for (FleetChange &it : Statements.takeChanges()) {
-    out.push_back(std::move(it));
-  }
-  for (FleetChange &it : Services.takeChanges()) {
-    out.push_back(std::move(it));
-  }
-  for (FleetChange &it : Capacity.takeChanges()) {
-    out.push_back(std::move(it));
-  }
-  return out;
-}
-
 OutgoingReports Dispatcher::collectReports(Time now, bool forRemotePeers) {
   Caches.expire(now);
   Peers.expire(now);
   Quarantine.update(now);
   Capacity.recordActive(now);
+  updateVersions(now);
   OutgoingReports out;
   out.Recipients = Recipients;
   for (const auto &[id, state] : Targets) {
@@ -418,6 +360,7 @@
   out.OwnReport.Statements = Statements.ownReport(now);
   updateCapacity(now);
   out.OwnReport.PoolServices = Capacity.ownReport(now);
+  out.OwnReport.Rollouts = Versions.ownReport(now);
   if (forRemotePeers) {
     out.GroupReport =
         Peers.aggregateWith(out.OwnReport, Recipients.GroupPeers, now);
@@ -426,6 +369,8 @@
     out.GroupReport.Statements = Statements.groupReport(
         out.OwnReport.Statements, Recipients.GroupPeers, now);
     out.GroupReport.TargetStates = Services.takeGroupReport(now);
+    out.GroupReport.Rollouts = Versions.groupReport(out.OwnReport.Rollouts,
+                                                    Recipients.GroupPeers, now);
   } else {
     out.Recipients.RemotePeers.clear();
   }
--- a/packages/standins/src/local_fleet.cpp
+++ b/packages/standins/src/local_fleet.cpp
@@ -114,6 +114,7 @@
   if (HedgingBudget > 0) {
     settings["hedging"] = {{"budget", HedgingBudget}};
   }
+  settings["bounds"].update(json::parse(ExtraBounds));
   const std::string path = TempDir + "/" + addresses.Host + ".json";
   std::ofstream(path) << settings.dump();
   RouterProcesses.push_back(launchRouter(addresses.Host));
