--- a/packages/standins/src/http_server.cpp
+++ b/packages/standins/src/http_server.cpp
@@ -86,6 +86,10 @@
 
 namespace {
 
+/// More than a router forwards: heads of callers within their limit, whose
+/// fields it writes with an additional space.
+constexpr std::uint32_t MaxHeaderBytes = 64U << 10U;
+
 asio::awaitable<void> serveConnection(tcp::socket socket,
                                       std::shared_ptr<ServerHandler> handler) {
   boost::system::error_code ec;
@@ -95,13 +99,14 @@
   std::string note;
   bool keepAlive = true;
   while (keepAlive) {
-    ServerRequest request;
-    co_await http::async_read(stream, buffer, request,
+    http::request_parser<ServerRequest::body_type> parser;
+    parser.header_limit(MaxHeaderBytes);
+    co_await http::async_read(stream, buffer, parser,
                               asio::redirect_error(asio::use_awaitable, ec));
     if (ec) {
       co_return;
     }
-    ServerExchange exchange(stream, std::move(request), note);
+    ServerExchange exchange(stream, parser.release(), note);
     co_await (*handler)(exchange);
     keepAlive = !exchange.isClosed() && exchange.Request.keep_alive();
   }
--- a/packages/standins/src/local_fleet.cpp
+++ b/packages/standins/src/local_fleet.cpp
@@ -90,14 +90,15 @@
   addresses.ReadinessAddress = freeLoopbackAddress();
   addresses.DirectoryAddress = freeLoopbackAddress();
   addresses.MetricsAddress = freeLoopbackAddress();
-  const json settings{
+  addresses.PeerAddress = freeLoopbackAddress();
+  json settings{
       {"gateway",
        {{"host", addresses.Host},
         {"zone", "zone-a"},
         {"callers", addresses.CallerAddress},
         {"readiness", addresses.ReadinessAddress},
         {"directory", addresses.DirectoryAddress},
-        {"peer", freeLoopbackAddress()},
+        {"peer", addresses.PeerAddress},
         {"metrics", addresses.MetricsAddress},
         {"descriptors", MaxDescriptors}}},
       {"store", {{"address", StoreAddress}, {"shortest_lease_ms", 1000}}},
@@ -107,6 +108,9 @@
         {"retry_ratio", 0.2},
         {"retry_window_s", 10},
         {"retry_extra", 50}}}};
+  if (MemoryMb > 0) {
+    settings["gateway"]["memory_mb"] = MemoryMb;
+  }
   const std::string path = TempDir + "/" + addresses.Host + ".json";
   std::ofstream(path) << settings.dump();
   RouterProcesses.push_back(launchRouter(addresses.Host));
--- a/packages/standins/src/local_fleet.h
+++ b/packages/standins/src/local_fleet.h
@@ -24,6 +24,7 @@
   std::string ReadinessAddress;
   std::string DirectoryAddress;
   std::string MetricsAddress;
+  std::string PeerAddress;
 };
 
 class LocalFleet {
@@ -85,6 +86,9 @@
   int StopGraceS = 6;
   /// Limit of file descriptors in the settings of routers added from now on.
   int MaxDescriptors = 1024;
+  /// Memory of the host in the settings of routers added from now on, in MB;
+  /// absent if 0.
+  int MemoryMb = 0;
 };
 
 } // namespace nutmegsill::standin
