Bound what foreign peers hold at the port for other routers

Cause: ZeroMQ bounds neither its connections, nor the parts of a message, nor the sum of unfinished frames. The bytes go to the library at an abstract local address. The library queues 16 messages of a peer instead of 1,000.

The time that the copy takes is not measured.

--- a/packages/process/src/metrics.cpp
+++ b/packages/process/src/metrics.cpp
@@ -54,6 +54,14 @@
                             "Times that callers' connections were refused "
                             "for lack of processor time")
                 .Add({})),
+        CallerRefusals(registerCounter(
+            *Registry, "nutmegsill_callers_limited_total",
+            "Callers that were refused or closed for a limit of the router")),
+        CallerMemory(prometheus::BuildGauge()
+                         .Name("nutmegsill_caller_memory_bytes")
+                         .Help("Memory that callers hold")
+                         .Register(*Registry)
+                         .Add({})),
         RequestLatency(prometheus::BuildHistogram()
                            .Name("nutmegsill_request_seconds")
                            .Help("Time to the end of callers' requests")
@@ -87,6 +95,8 @@
   Family<Counter> &Requests;
   Family<Counter> &FleetChanges;
   Counter &ListeningPauses;
+  Family<Counter> &CallerRefusals;
+  Gauge &CallerMemory;
   Family<Histogram> &RequestLatency;
   Family<Histogram> &FirstPartLatency;
   Family<Gauge> &StateAges;
@@ -156,6 +166,15 @@
   Impl->FleetChanges.Add({{"what", change}}).Increment();
 }
 
+void Metrics::countCallerRefusal(const std::string &port,
+                                 const std::string &reason) {
+  Impl->CallerRefusals.Add({{"port", port}, {"reason", reason}}).Increment();
+}
+
+void Metrics::setCallerMemory(std::size_t bytes) {
+  Impl->CallerMemory.Set(static_cast<double>(bytes));
+}
+
 void Metrics::countListeningPauses(std::size_t count) {
   Impl->ListeningPauses.Increment(static_cast<double>(count));
 }
--- a/packages/process/src/metrics.h
+++ b/packages/process/src/metrics.h
@@ -36,6 +36,11 @@
   /// Counts the times that callers' connections were refused until the next
   /// probe for lack of processor time.
   void countListeningPauses(std::size_t count);
+  /// Counts a caller at `port` that was refused or closed for a limit of the
+  /// router.
+  void countCallerRefusal(const std::string &port, const std::string &reason);
+  /// Sets the bytes that callers hold.
+  void setCallerMemory(std::size_t bytes);
 
 private:
   struct Implementation;
--- a/packages/process/src/peer_socket.cpp
+++ b/packages/process/src/peer_socket.cpp
@@ -1,12 +1,14 @@
 #include "peer_socket.h"
 
 #include "nutmegsill/http_client.h"
+#include "peer_gate.h"
 
 #include <array>
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/post.hpp>
 #include <charconv>
 #include <map>
+#include <stdexcept>
 #include <zmq.hpp>
 #include <zmq_addon.hpp>
 
@@ -20,6 +22,8 @@
 /// A peer that sends a larger message is disconnected; load reports have some
 /// kilobytes.
 constexpr std::int64_t MaxMessageBytes = 1 << 20;
+/// Messages of one peer that wait to be received: a peer queues four itself.
+constexpr int MaxQueuedReceived = 16;
 /// Messages received before other handlers of the event loop run.
 constexpr int MaxMessagesAtOnce = 64;
 constexpr const char *AuthEndpoint = "inproc://zeromq.zap.01";
@@ -63,7 +67,7 @@
     std::optional<zmq::socket_t> Socket;
   };
 
-  void bind(const std::string &address);
+  void bind(asio::io_context &io, const std::string &address);
   void waitForMessages(asio::posix::stream_descriptor &descriptor);
   void replyToAuthRequests();
   void receiveMessages();
@@ -82,6 +86,7 @@
   zmq::socket_t AuthSocket;
   zmq::socket_t ReceiveSocket;
   std::map<HostId, Peer> Peers;
+  std::optional<PeerGate> Gate;
   asio::posix::stream_descriptor AuthDescriptor;
   asio::posix::stream_descriptor ReceiveDescriptor;
   /// Pending handlers hold a weak pointer and must not touch this after its
@@ -89,7 +94,8 @@
   std::shared_ptr<bool> LifetimeToken = std::make_shared<bool>();
 };
 
-void PeerSocket::Implementation::bind(const std::string &address) {
+void PeerSocket::Implementation::bind(asio::io_context &io,
+                                      const std::string &address) {
   AuthSocket.bind(AuthEndpoint);
   ReceiveSocket.set(zmq::sockopt::linger, 0);
   ReceiveSocket.set(zmq::sockopt::router_handover, true);
@@ -100,7 +106,19 @@
     ReceiveSocket.set(zmq::sockopt::curve_secretkey, Options.Curve->Secret);
     ReceiveSocket.set(zmq::sockopt::zap_domain, "nutmegsill");
   }
-  ReceiveSocket.bind("tcp://" + address);
+  ReceiveSocket.set(zmq::sockopt::rcvhwm, MaxQueuedReceived);
+  // The address that is bound is unique on a host.
+  const std::string inner = "nutmegsill-peers-" + address;
+  ReceiveSocket.bind("ipc://@" + inner);
+  const std::optional<Endpoint> endpoint = parseEndpoint(address);
+  if (!endpoint) {
+    throw std::invalid_argument("peer address is not of the form IP:port");
+  }
+  PeerGateLimits limits;
+  limits.MaxConnections = Options.MaxConnections;
+  limits.MaxFrameBytes = MaxMessageBytes;
+  limits.AllowsParts = Options.Curve.has_value();
+  Gate.emplace(io, *endpoint, inner, limits, Counters);
   AuthDescriptor.assign(AuthSocket.get(zmq::sockopt::fd));
   ReceiveDescriptor.assign(ReceiveSocket.get(zmq::sockopt::fd));
   waitForMessages(AuthDescriptor);
@@ -229,7 +247,7 @@
     std::unique_ptr<Implementation> implementation =
         std::make_unique<Implementation>(context, std::move(options), metrics,
                                          std::move(handler));
-    implementation->bind(address);
+    implementation->bind(context, address);
     return std::unique_ptr<PeerSocket>(
         new PeerSocket(std::move(implementation)));
   } catch (const std::exception &error) {
--- a/packages/process/src/peer_socket.h
+++ b/packages/process/src/peer_socket.h
@@ -30,6 +30,8 @@
   std::optional<CurveKeys> Curve;
   /// Maximum number of messages queued for one peer.
   int MaxQueuedMessages = 1000;
+  /// Connections that other routers may have open to this one.
+  std::size_t MaxConnections = 64;
   /// Interval of heartbeats on a connection, and silence after which it is
   /// closed.
   milliseconds HeartbeatInterval{5000};
