Read targets on while a caller reads slowly

Cause: a stream waited for its caller after each chunk, so that its target was not read and cut the response off. ResponseWriter holds up to 256 KB of chunks, counted to the buffered responses. At the bound it waits for the caller as before; one that takes nothing for the idle timeout is reset.

--- a/packages/gateway/src/response_writer.cpp
+++ b/packages/gateway/src/response_writer.cpp
@@ -18,6 +18,9 @@
 namespace {
 
 constexpr std::string_view LastChunk = "0\r\n\r\n";
+/// Bytes of one stream that are held for a caller that does not read: some ten
+/// seconds of a usual stream, for which a target would not wait.
+constexpr std::size_t MaxHeldBytes = 256U << 10U;
 
 /// Whether responses with this status end with their header (RFC 9112, 6.3).
 bool hasNoBody(unsigned status) { return status == 204 || status == 304; }
@@ -53,6 +56,14 @@
 
 } // namespace
 
+ResponseWriter::ResponseWriter(asio::ip::tcp::socket &caller,
+                               BufferBudget *budget)
+    : CallerSocket(caller), HeldTimer(caller.get_executor()) {
+  if (budget != nullptr) {
+    HeldMemory.emplace(*budget);
+  }
+}
+
 void ResponseWriter::reset(bool keepAlive, bool isHead) {
   KeepAlive = keepAlive;
   HeaderOnly = isHead;
@@ -103,6 +114,98 @@
   co_return !ec;
 }
 
+bool ResponseWriter::mayHold(std::size_t bytes) {
+  return bytes <= MaxHeldBytes && (!HeldMemory || HeldMemory->resize(bytes));
+}
+
+void ResponseWriter::flush() {
+  while (heldBytes() > 0 && !HeldError) {
+    const std::size_t n = CallerSocket.write_some(
+        asio::buffer(Held.data() + HeldSent, heldBytes()), HeldError);
+    HeldSent += n;
+    if (n > 0) {
+      HeldTimer.cancel();
+    }
+  }
+  if (HeldError == asio::error::would_block) {
+    HeldError = {};
+    waitToFlush();
+    return;
+  }
+  HeldTimer.cancel();
+  if (!HeldError) {
+    Held = std::string();
+    HeldSent = 0;
+    mayHold(0);
+  }
+}
+
+void ResponseWriter::waitToFlush() {
+  if (Flushing) {
+    return;
+  }
+  Flushing = true;
+  CallerSocket.async_wait(asio::ip::tcp::socket::wait_write,
+                          [this, lifetime = std::weak_ptr<bool>(LifetimeToken)](
+                              boost::system::error_code ec) {
+                            if (lifetime.expired()) {
+                              return;
+                            }
+                            Flushing = false;
+                            // A wait for bytes of the caller may have been
+                            // cancelled.
+                            if (ec && ec != asio::error::operation_aborted) {
+                              HeldError = ec;
+                            }
+                            flush();
+                          });
+}
+
+asio::awaitable<bool> ResponseWriter::waitForHeld(std::size_t bytes) {
+  while (heldBytes() > bytes && !HeldError) {
+    const std::size_t before = heldBytes();
+    boost::system::error_code ec;
+    HeldTimer.expires_after(StallTimeout);
+    co_await HeldTimer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec && heldBytes() == before) {
+      HeldError = asio::error::timed_out;
+    }
+  }
+  co_return !HeldError;
+}
+
+asio::awaitable<bool> ResponseWriter::sendChunk(std::string_view text) {
+  if (HeldError) {
+    co_return false;
+  }
+  if (heldBytes() == 0) {
+    boost::system::error_code ec;
+    CallerSocket.non_blocking(true, ec);
+    const std::size_t n =
+        CallerSocket.write_some(asio::buffer(text.data(), text.size()), ec);
+    if (ec && ec != asio::error::would_block) {
+      co_return false;
+    }
+    text.remove_prefix(n);
+  }
+  if (text.empty()) {
+    co_return true;
+  }
+  if (heldBytes() > 0 && !mayHold(heldBytes() + text.size())) {
+    const bool drained = co_await waitForHeld(0);
+    if (!drained) {
+      co_return false;
+    }
+  }
+  Held.erase(0, HeldSent);
+  HeldSent = 0;
+  Held.append(text);
+  mayHold(Held.size());
+  waitToFlush();
+  co_return true;
+}
+
 asio::awaitable<bool> ResponseWriter::write(const BufferedResponse &response) {
   HeaderOnly = HeaderOnly || hasNoBody(response.Status);
   std::string head = formatHead(response.Status, response.Fields, KeepAlive);
@@ -139,7 +242,7 @@
   }
   std::string text;
   appendChunk(text, part);
-  const bool sent = co_await sendBytes(text);
+  const bool sent = co_await sendChunk(text);
   co_return sent;
 }
 
@@ -151,7 +254,10 @@
   std::string text;
   appendChunk(text, part);
   text.append(LastChunk);
-  Finished = co_await sendBytes(text);
+  const bool drained = co_await waitForHeld(0);
+  if (drained) {
+    Finished = co_await sendBytes(text);
+  }
   co_return Finished;
 }
 
