Bound what callers hold, and decide before the body

Cause: fields of a head were parsed as they arrived, at 16 bytes of memory for a byte, and the HTTP library's limit counts the bytes of one read only; bodies and connections had no common bound.

Heads stay unparsed until they are whole, also those of targets, the store, directory and readiness check. Route, key, overload and stop are checked before a body that is not there yet, and again when it is complete. Bytes, fields and the stated length of the body count to CallerBudget (gateway.memory_mb). Callers, directory and readiness check have bounds of connections; the oldest idle or stalled ones are closed first. The allocator's threshold for large blocks is fixed. Log lines for single malformed requests become callers/limited, once a second.

--- a/packages/gateway/src/caller_connections.cpp
+++ b/packages/gateway/src/caller_connections.cpp
@@ -30,6 +30,41 @@
   }
 }
 
+void CallerConnections::remove(CallerConnection &connection) {
+  Open.erase(&connection);
+  Closed.erase(&connection);
+}
+
+void CallerConnections::refuse(std::uint64_t budgetId) const {
+  for (CallerConnection *it : Open) {
+    if (it->budgetId() == budgetId) {
+      it->refuse();
+      return;
+    }
+  }
+}
+
+bool CallerConnections::makeRoom() {
+  if (Open.size() - Closed.size() < MaxOpen) {
+    return true;
+  }
+  CallerConnection *oldest = nullptr;
+  Time oldestSince = Time::max();
+  for (CallerConnection *it : Open) {
+    const std::optional<Time> since = it->waitsSince();
+    if (since && *since < oldestSince) {
+      oldest = it;
+      oldestSince = *since;
+    }
+  }
+  if (oldest == nullptr) {
+    return false;
+  }
+  oldest->close();
+  Closed.insert(oldest);
+  return true;
+}
+
 Duration CallerConnections::idleTimeout(Duration configured) const {
   if (Open.size() >= KeepAliveLimit) {
     return std::min<Duration>(MinIdleTimeout, configured);
--- a/packages/gateway/src/caller_connections.h
+++ b/packages/gateway/src/caller_connections.h
@@ -4,6 +4,8 @@
 #include "nutmegsill/types.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <set>
 
 namespace nutmegsill::gateway {
@@ -18,6 +20,15 @@
   /// Closes the connection unless a request is being served or has begun to
   /// arrive.
   virtual void closeIfIdle() = 0;
+  /// Rejects an unfinished request, as the router lacks memory.
+  virtual void refuse() = 0;
+  /// Closes the connection unless a request is being served.
+  virtual void close() = 0;
+  /// Since when bytes of the caller are awaited; nothing while a request is
+  /// being served.
+  virtual std::optional<Time> waitsSince() const = 0;
+  /// Number of the caller in the callers' budget.
+  virtual std::uint64_t budgetId() const = 0;
   /// Gives a request up that its target does not acknowledge.
   virtual void checkTarget(Time now) = 0;
 
@@ -32,13 +43,20 @@
   /// Allots half of `descriptors` to callers; the rest is for targets, peers
   /// and the store.
   explicit CallerConnections(std::size_t descriptors)
-      : KeepAliveLimit(descriptors / 2) {}
+      : KeepAliveLimit(descriptors / 2),
+        MaxOpen(descriptors / 2 + descriptors / 16) {}
 
   void add(CallerConnection &connection) { Open.insert(&connection); }
-  void remove(CallerConnection &connection) { Open.erase(&connection); }
+  void remove(CallerConnection &connection);
   void endRequests(bool readFirst) const;
   void closeIdle() const;
   void checkTargets(Time now) const;
+  /// Rejects the unfinished request of one caller.
+  void refuse(std::uint64_t budgetId) const;
+  /// Makes room for a new connection: at the limit, closes the one on which
+  /// bytes of the caller have been awaited longest. Returns false if a request
+  /// is being served on each.
+  bool makeRoom();
   std::size_t size() const { return Open.size(); }
   /// Whether a connection may stay open after its response.
   bool mayKeepAlive() const { return Open.size() < KeepAliveLimit; }
@@ -48,7 +66,12 @@
 
 private:
   std::size_t KeepAliveLimit;
+  /// A sixteenth above the limit up to which connections are kept open, for
+  /// those of which one request is served.
+  std::size_t MaxOpen;
   std::set<CallerConnection *> Open;
+  /// Those of `Open` that `makeRoom` has closed, until their sessions end.
+  std::set<CallerConnection *> Closed;
 };
 
 } // namespace nutmegsill::gateway
--- a/packages/gateway/src/control_server.cpp
+++ b/packages/gateway/src/control_server.cpp
@@ -34,6 +34,16 @@
 constexpr std::chrono::seconds OverloadMemory{5};
 /// Interval of the timers by which the event loop's lag is measured.
 constexpr milliseconds LagProbeInterval{200};
+/// Connections to the readiness check, and to the directory at least: the
+/// platform checks with one or two.
+constexpr std::size_t MinSmallConnections = 8;
+/// Connections to the directory. Each may take 140 KB of memory; a caller whose
+/// connection is closed opens another one with its next query.
+constexpr std::size_t MaxDirectoryConnections = 64;
+/// Connections of other routers. A router of a fleet of 97 gets reports from
+/// some thirty others.
+constexpr std::size_t MinPeerConnections = 16;
+constexpr std::size_t MaxPeerConnections = 256;
 constexpr int MaxQueuedPeerMessages = 4;
 constexpr milliseconds PeerHeartbeatInterval{1'000};
 constexpr milliseconds PeerHeartbeatTimeout{2'000};
@@ -55,6 +65,8 @@
 ControlServer::ControlServer(const GatewaySettings &settings, Metrics &metrics,
                              SharedState &shared)
     : Settings(settings), Counters(metrics), Shared(shared),
+      DirectoryRefusals(metrics, "directory"),
+      ReadinessRefusals(metrics, "readiness"),
       OwnIncarnation(makeIncarnationId()),
       Random(static_cast<std::uint32_t>(OwnIncarnation.Value) | 1U) {}
 
@@ -100,6 +112,8 @@
   options.Address = settings.PeerAddress;
   options.Curve = settings.Curve;
   options.MaxQueuedMessages = MaxQueuedPeerMessages;
+  options.MaxConnections = std::clamp<std::size_t>(
+      settings.MaxDescriptors / 16, MinPeerConnections, MaxPeerConnections);
   options.HeartbeatInterval = PeerHeartbeatInterval;
   options.HeartbeatTimeout = PeerHeartbeatTimeout;
   server->Peers = PeerSocket::open(
@@ -125,14 +139,24 @@
   Watcher->start(std::move(handlers));
   OwnRegistration->start();
   spawn(Io, queryEngineCaches());
+  spawn(
+      Io,
+      serveJson(
+          *DirectoryAcceptor,
+          [this](std::string_view requestTarget) {
+            return handleDirectoryRequest(requestTarget);
+          },
+          std::clamp<std::size_t>(Settings.MaxDescriptors / 16,
+                                  MinSmallConnections, MaxDirectoryConnections),
+          [this] { DirectoryRefusals.count("connections", bootTimeNow()); }));
   spawn(Io,
-        serveJson(*DirectoryAcceptor, [this](std::string_view requestTarget) {
-          return handleDirectoryRequest(requestTarget);
-        }));
-  spawn(Io,
-        serveJson(*ReadinessAcceptor, [this](std::string_view requestTarget) {
-          return handleReadinessRequest(requestTarget);
-        }));
+        serveJson(
+            *ReadinessAcceptor,
+            [this](std::string_view requestTarget) {
+              return handleReadinessRequest(requestTarget);
+            },
+            MinSmallConnections,
+            [this] { ReadinessRefusals.count("connections", bootTimeNow()); }));
   spawn(Io, measureLoopLag(Io, "control", LagProbeInterval, Counters));
   runEventLoop(Io);
 }
--- a/packages/gateway/src/control_server.h
+++ b/packages/gateway/src/control_server.h
@@ -2,6 +2,7 @@
 /// serves directory and readiness requests.
 #pragma once
 
+#include "caller_refusals.h"
 #include "clock.h"
 #include "json_server.h"
 #include "metrics.h"
@@ -82,6 +83,8 @@
   Metrics &Counters;
   SharedState &Shared;
   boost::asio::io_context Io{1};
+  CallerRefusals DirectoryRefusals;
+  CallerRefusals ReadinessRefusals;
   /// Set once at process start.
   IncarnationId OwnIncarnation;
   std::unique_ptr<StoreWatcher> Watcher;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "nutmegsill/routing/acknowledgement_policy.h"
 #include "nutmegsill/transfer_coding.h"
+#include "nutmegsill/whole_head.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -187,14 +188,11 @@
 
 asio::awaitable<bool> Exchange::readHead(ResponseReader &reader) {
   for (int skipped = 0; skipped <= MaxSkippedHeads; ++skipped) {
-    boost::system::error_code ec;
     reader.Parser.emplace();
     reader.Parser->body_limit(boost::none);
-    reader.Parser->header_limit(MaxTargetHeaderBytes);
     reader.Parser->skip(Request.ResponseHasNoBody);
-    co_await http::async_read_header(
-        *Connection, reader.Buffer, *reader.Parser,
-        asio::redirect_error(asio::use_awaitable, ec));
+    const boost::system::error_code ec = co_await readParsedHead(
+        *Connection, reader.Buffer, *reader.Parser, MaxTargetHeaderBytes);
     if (ec) {
       fail(ExchangeResult::Broken,
            Unacknowledged ? "request not acknowledged"
--- a/packages/gateway/src/json_server.cpp
+++ b/packages/gateway/src/json_server.cpp
@@ -2,6 +2,7 @@
 
 #include "log.h"
 #include "nutmegsill/transfer_coding.h"
+#include "nutmegsill/whole_head.h"
 #include "spawn.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -11,6 +12,10 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <list>
+#include <memory>
+
 namespace nutmegsill::gateway {
 
 namespace asio = boost::asio;
@@ -30,17 +35,47 @@
 /// Delay after a failed accept, for example when no file descriptor is free.
 constexpr std::chrono::milliseconds AcceptRetryDelay{50};
 
+/// The open connections; the one that was served least recently is the first.
+using Connections = std::list<beast::tcp_stream *>;
+
+/// Entry of one connection in the list, while it is there.
+class ListedConnection {
+public:
+  ListedConnection(std::shared_ptr<Connections> list, beast::tcp_stream &stream)
+      : List(std::move(list)), Stream(stream) {
+    List->push_back(&Stream);
+  }
+  ~ListedConnection() { List->remove(&Stream); }
+  ListedConnection(const ListedConnection &) = delete;
+  ListedConnection &operator=(const ListedConnection &) = delete;
+
+  void recordServed() {
+    const auto it = std::find(List->begin(), List->end(), &Stream);
+    if (it != List->end()) {
+      List->splice(List->end(), *List, it);
+    }
+  }
+
+private:
+  std::shared_ptr<Connections> List;
+  beast::tcp_stream &Stream;
+};
+
 asio::awaitable<void> serveConnection(beast::tcp_stream stream,
+                                      std::shared_ptr<Connections> list,
                                       JsonHandler handler) {
+  ListedConnection listed(std::move(list), stream);
   beast::flat_buffer buf(MaxBufferBytes);
   for (bool keepAlive = true; keepAlive;) {
     boost::system::error_code ec;
     http::request_parser<http::string_body> parser;
-    parser.header_limit(MaxRequestBytes);
     parser.body_limit(MaxRequestBytes);
     stream.expires_after(KeepAliveTimeout);
-    co_await http::async_read(stream, buf, parser,
-                              asio::redirect_error(asio::use_awaitable, ec));
+    ec = co_await readParsedHead(stream, buf, parser, MaxRequestBytes, "");
+    if (!ec && !parser.is_done()) {
+      co_await http::async_read(stream, buf, parser,
+                                asio::redirect_error(asio::use_awaitable, ec));
+    }
     if (ec || hasUnknownTransferCoding(parser.get())) {
       co_return;
     }
@@ -65,6 +100,7 @@
     if (ec) {
       co_return;
     }
+    listed.recordServed();
   }
 }
 
@@ -86,15 +122,23 @@
   return acceptor;
 }
 
-asio::awaitable<void> serveJson(tcp::acceptor &acceptor, JsonHandler handler) {
+asio::awaitable<void> serveJson(tcp::acceptor &acceptor, JsonHandler handler,
+                                std::size_t maxConnections,
+                                std::function<void()> onClosed) {
   const asio::any_io_executor executor = acceptor.get_executor();
+  const auto open = std::make_shared<Connections>();
   while (acceptor.is_open()) {
     boost::system::error_code ec;
     tcp::socket socket = co_await acceptor.async_accept(
         asio::redirect_error(asio::use_awaitable, ec));
     if (!ec) {
-      spawn(executor,
-            serveConnection(beast::tcp_stream(std::move(socket)), handler));
+      while (open->size() >= maxConnections) {
+        open->front()->close();
+        open->pop_front();
+        onClosed();
+      }
+      spawn(executor, serveConnection(beast::tcp_stream(std::move(socket)),
+                                      open, handler));
     } else if (acceptor.is_open()) {
       logLine("process", "accept_failed", {{"reason", ec.message()}});
       asio::steady_timer timer(executor, AcceptRetryDelay);
--- a/packages/gateway/src/json_server.h
+++ b/packages/gateway/src/json_server.h
@@ -26,8 +26,12 @@
          const boost::asio::ip::tcp::endpoint &endpoint,
          boost::system::error_code &ec);
 
-/// Accepts connections and serves them until `acceptor` is closed.
+/// Accepts connections and serves them until `acceptor` is closed. Keeps
+/// `maxConnections` open: for a new one, the one that was served least recently
+/// is closed, and `onClosed` is called.
 boost::asio::awaitable<void> serveJson(boost::asio::ip::tcp::acceptor &acceptor,
-                                       JsonHandler handler);
+                                       JsonHandler handler,
+                                       std::size_t maxConnections,
+                                       std::function<void()> onClosed);
 
 } // namespace nutmegsill::gateway
--- a/packages/gateway/src/main.cpp
+++ b/packages/gateway/src/main.cpp
@@ -8,12 +8,15 @@
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
+#include <malloc.h>
 #include <sstream>
 
 namespace {
 
 using namespace nutmegsill;
 
+/// The library's own initial value.
+constexpr int MmapThresholdBytes = 128 << 10;
 constexpr int ExitFailure = 1;
 constexpr int ExitUsage = 2;
 /// Environment variable with the path of the settings file; `--settings` takes
@@ -54,6 +57,11 @@
 } // namespace
 
 int main(int argc, char **argv) {
+  // Large buffers are returned to the system when they are freed. By default
+  // the library raises both thresholds with the sizes that it sees, and keeps
+  // the memory of one burst of large requests for good.
+  mallopt(M_MMAP_THRESHOLD, MmapThresholdBytes);
+  mallopt(M_TRIM_THRESHOLD, MmapThresholdBytes);
   // Until the event loop handles stop signals, nothing is registered or served
   // that would have to be finished.
   for (const int number : {SIGTERM, SIGINT}) {
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -4,17 +4,15 @@
 #include "log.h"
 #include "nutmegsill/routing/admission.h"
 #include "nutmegsill/routing/request_lifecycle.h"
-#include "nutmegsill/transfer_coding.h"
+#include "request_reader.h"
 #include "traffic_server.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include <array>
+#include <variant>
 
 namespace nutmegsill::gateway {
 
@@ -34,26 +32,12 @@
 /// and a request that is not sent yet can be sent to another target.
 constexpr milliseconds ConnectTimeout{300};
 
-/// Bytes of a caller that are read ahead of the parser. The HTTP library throws
-/// at fields of 64 KB and limits the size of headers, not that of trailers.
-constexpr std::size_t MaxCallerBufferBytes = 62U << 10U;
-/// Longest header that is accepted, whatever the configuration says.
-constexpr std::uint32_t MaxCallerHeaderBytes = 60U << 10U;
-/// Time for which bytes of a rejected request are read and dropped.
-constexpr std::chrono::seconds MaxDrainTime{2};
-
 /// Time beyond a timeout for bytes that had arrived before it; a process that
 /// was suspended finds its timers expired.
 constexpr milliseconds ReadTime{100};
 
 /// Why a request was cancelled before its response was complete.
-enum class CancelCause {
-  None,
-  CallerDisconnected,
-  TimeLimit,
-  AttemptTimeout,
-  DrainTimeout
-};
+enum class CancelCause { None, CallerDisconnected, TimeLimit, AttemptTimeout };
 
 std::string_view toView(beast::string_view text) {
   return {text.data(), text.size()};
@@ -63,16 +47,22 @@
 public:
   Session(SessionContext &context, tcp::socket caller)
       : Context(context), CallerSocket(std::move(caller)),
-        Timer(CallerSocket.get_executor()), Writer(CallerSocket) {}
+        Timer(CallerSocket.get_executor()),
+        Writer(CallerSocket, &context.ResponseBuffers),
+        Reader(context, CallerSocket, Writer) {}
 
   asio::awaitable<void> run();
   void endRequest(bool readsFirst) override;
-  void closeIfIdle() override;
+  void closeIfIdle() override { Reader.closeIfIdle(); }
+  void refuse() override { Reader.refuse(); }
+  void close() override { Reader.close(); }
+  std::optional<Time> waitsSince() const override {
+    return Reader.waitsSince();
+  }
+  std::uint64_t budgetId() const override { return Reader.budgetId(); }
   void checkTarget(Time now) override;
 
 private:
-  using Parser = http::request_parser<http::string_body>;
-
   /// The request being served.
   struct Request {
     platform::RequestHead Head;
@@ -86,18 +76,14 @@
     std::optional<routing::EventStreamBuffer> Events;
   };
 
-  using ParserState = bool (Parser::*)() const;
-
-  asio::awaitable<bool> readRequest(Parser &parser);
-  /// Reads until the parser has reached a state; fails with `operation_aborted`
-  /// when the read timer expires before.
-  asio::awaitable<boost::system::error_code> readUntil(Parser &parser,
-                                                       ParserState isReached);
-  /// Reads and drops what the caller still sends: the system resets a
-  /// connection that is closed with unread bytes, and the caller may lose the
-  /// response.
-  asio::awaitable<void> drainCaller();
+  /// Reads the rest of a request whose head is known, unless it is rejected
+  /// before; returns whether it is to be served.
+  asio::awaitable<bool> readBody();
   asio::awaitable<void> serveRequest(Request &request);
+  /// Decides what the head tells: whether the router takes requests, and the
+  /// request's route and key.
+  std::variant<Admission, LocalResponse>
+  checkHead(const platform::RequestHead &head, Time now);
   std::optional<LocalResponse> admitRequest(Request &request);
   asio::awaitable<void> dispatch(Request &request);
   asio::awaitable<ExchangeOutcome> attempt(Request &request,
@@ -113,13 +99,7 @@
                  unsigned status, const std::string &reason);
 
   void armTimer(Duration delay, CancelCause cause, bool mayExtend = true);
-  /// Sets the timer that ends reading.
-  void armReadTimer(Duration delay);
-  /// Ends a wait for bytes of the caller. Bytes that the system has handed over
-  /// are not lost: their handler may still be queued, so that the socket does
-  /// not tell whether a request has arrived.
-  void stopReading();
-  /// Whether bytes that the session waits for have arrived.
+  /// Whether bytes of the target have arrived.
   bool hasUnreadBytes();
   void watchCaller();
   void cancel(CancelCause cause);
@@ -128,8 +108,7 @@
   tcp::socket CallerSocket;
   asio::steady_timer Timer;
   ResponseWriter Writer;
-  /// Bounded, since the parser waits for the end of a chunk's extension.
-  beast::flat_buffer ReadBuffer{MaxCallerBufferBytes};
+  RequestReader Reader;
   Exchange *CurrentExchange = nullptr;
   CancelCause CancelledBy = CancelCause::None;
   /// Reserves a target for the next attempt. If there is none, returns false
@@ -139,8 +118,6 @@
   /// ignored.
   std::uint64_t TimerGeneration = 0;
   bool WatchingCaller = false;
-  /// No byte of the next request has been read.
-  bool AwaitsRequest = false;
   /// Reset when the coroutine ends; pending handlers hold a weak pointer and
   /// must not touch the session after that.
   std::shared_ptr<bool> LifetimeToken = std::make_shared<bool>();
@@ -168,15 +145,8 @@
   });
 }
 
-void Session::armReadTimer(Duration delay) {
-  CancelledBy = CancelCause::None;
-  armTimer(delay, CancelCause::TimeLimit);
-}
-
 bool Session::hasUnreadBytes() {
-  return CurrentExchange != nullptr
-             ? CurrentExchange->hasUnreadBytes()
-             : peekSocket(CallerSocket) == SocketState::HasData;
+  return CurrentExchange != nullptr && CurrentExchange->hasUnreadBytes();
 }
 
 void Session::cancel(CancelCause cause) {
@@ -185,30 +155,15 @@
   }
   if (CurrentExchange != nullptr) {
     CurrentExchange->abort();
-  } else if (cause == CancelCause::TimeLimit ||
-             cause == CancelCause::DrainTimeout) {
-    stopReading();
   }
 }
 
-void Session::stopReading() {
-  boost::system::error_code ec;
-  CallerSocket.cancel(ec);
-}
-
 void Session::endRequest(bool readsFirst) {
   if (CurrentExchange != nullptr && !(readsFirst && hasUnreadBytes())) {
     cancel(CancelCause::TimeLimit);
   }
 }
 
-void Session::closeIfIdle() {
-  boost::system::error_code ec;
-  if (AwaitsRequest && CallerSocket.available(ec) == 0) {
-    stopReading();
-  }
-}
-
 void Session::checkTarget(Time now) {
   if (CurrentExchange != nullptr) {
     CurrentExchange->checkAcknowledged(now);
@@ -244,94 +199,22 @@
                           });
 }
 
-/// Reads one request; responds with an error to a malformed one. Returns false
-/// when there is no request to serve.
-asio::awaitable<bool> Session::readRequest(Parser &parser) {
-  const std::shared_ptr<const routing::FleetView> view =
-      Context.refreshView(bootTimeNow());
-  const routing::CallerLimits limits =
-      view ? view->Config->Limits : routing::CallerLimits();
-  parser.header_limit(std::min(limits.MaxHeaderBytes, MaxCallerHeaderBytes));
-  parser.body_limit(limits.MaxBodyBytes);
-  Writer.setStallTimeout(limits.IdleTimeout);
-  boost::system::error_code ec;
-  const auto token = [&ec] {
-    return asio::redirect_error(asio::use_awaitable, ec);
-  };
-  AwaitsRequest = ReadBuffer.size() == 0;
-  armReadTimer(AwaitsRequest ? Context.Callers.idleTimeout(limits.IdleTimeout)
-                             : Duration(limits.HeaderTimeout));
-  if (AwaitsRequest) {
-    co_await http::async_read_some(CallerSocket, ReadBuffer, parser, token());
-    AwaitsRequest = ec == asio::error::operation_aborted;
-    if (!ec && !parser.is_header_done()) {
-      armReadTimer(limits.HeaderTimeout);
-    }
-  }
-  if (!ec) {
-    ec = co_await readUntil(parser, &Parser::is_header_done);
-  }
-  if (!ec && hasUnknownTransferCoding(parser.get())) {
-    ec = http::error::bad_transfer_encoding;
-  }
-  if (!ec && parser.get()[http::field::expect] == "100-continue") {
-    constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
-    co_await asio::async_write(CallerSocket, asio::buffer(interim), token());
-  }
-  if (!ec && !parser.is_done()) {
-    armReadTimer(limits.IdleTimeout);
-    ec = co_await readUntil(parser, &Parser::is_done);
-  }
-  if (!AwaitsRequest && ec == asio::error::operation_aborted) {
-    logLine("callers", "request_not_read", {{"reason", "time limit"}});
-  }
-  if (!ec) {
-    co_return true;
-  }
-  const bool connectionLost =
-      ec == http::error::end_of_stream || ec == http::error::partial_message ||
-      ec.category() !=
-          http::make_error_code(http::error::bad_method).category();
-  if (!connectionLost) {
-    BufferedResponse response;
-    response.Status = ec == http::error::header_limit ? 431
-                      : ec == http::error::body_limit ? 413
-                                                      : 400;
-    Writer.reset(false, false);
-    co_await Writer.write(response);
-    logLine("request", "malformed",
-            {{"status", std::to_string(response.Status)},
-             {"reason", ec.message()}});
-    co_await drainCaller();
-  }
-  co_return false;
-}
-
-asio::awaitable<boost::system::error_code>
-Session::readUntil(Parser &parser, ParserState isReached) {
-  boost::system::error_code ec;
-  while (!ec && !(parser.*isReached)()) {
-    co_await http::async_read_some(
-        CallerSocket, ReadBuffer, parser,
-        asio::redirect_error(asio::use_awaitable, ec));
-    // Bytes that had been received when the time ended still count.
-    if (!ec && !(parser.*isReached)() && CancelledBy != CancelCause::None) {
-      ec = asio::error::operation_aborted;
+asio::awaitable<bool> Session::readBody() {
+  if (Reader.expectsLargeBody()) {
+    Request request;
+    request.Head = platform::parseRequestHead(Reader.head().base());
+    request.ArrivedAt = bootTimeNow();
+    const std::variant<Admission, LocalResponse> checked =
+        checkHead(request.Head, request.ArrivedAt);
+    if (const auto *rejected = std::get_if<LocalResponse>(&checked)) {
+      Writer.reset(false, Reader.head().method() == http::verb::head);
+      co_await sendLocalResponse(request, *rejected);
+      co_await Reader.drain();
+      co_return false;
     }
   }
-  co_return ec;
-}
-
-asio::awaitable<void> Session::drainCaller() {
-  std::array<char, 4U << 10U> ignored{};
-  boost::system::error_code ec;
-  CallerSocket.shutdown(tcp::socket::shutdown_send, ec);
-  CancelledBy = CancelCause::None;
-  armTimer(MaxDrainTime, CancelCause::DrainTimeout, false);
-  while (!ec && CancelledBy == CancelCause::None) {
-    co_await CallerSocket.async_read_some(
-        asio::buffer(ignored), asio::redirect_error(asio::use_awaitable, ec));
-  }
+  const bool complete = co_await Reader.readBody();
+  co_return complete;
 }
 
 asio::awaitable<void> Session::run() {
@@ -339,22 +222,24 @@
   CallerSocket.set_option(tcp::no_delay(true), ec);
   Context.Callers.add(*this);
   for (;;) {
-    Parser parser;
-    const bool complete = co_await readRequest(parser);
+    bool complete = co_await Reader.readHead();
+    if (complete && !Reader.isComplete()) {
+      complete = co_await readBody();
+    }
     if (!complete) {
       break;
     }
-    ++TimerGeneration;
     CancelledBy = CancelCause::None;
     Request request;
     request.ArrivedAt = bootTimeNow();
-    request.Message = parser.release();
+    request.Message = Reader.release();
     Writer.reset(request.Message.keep_alive() && !Context.Shared.isDraining() &&
                      Context.Callers.mayKeepAlive(),
                  request.Message.method() == http::verb::head);
     ++Context.RequestsInFlight;
     co_await serveRequest(request);
     --Context.RequestsInFlight;
+    Reader.finish();
     if (!Writer.hasFinished() || !Writer.keepsAlive()) {
       break;
     }
@@ -370,10 +255,8 @@
   CallerSocket.close(ec);
 }
 
-/// Finds the route, team and pool of a request; returns the router's own
-/// response when the request is rejected.
-std::optional<LocalResponse> Session::admitRequest(Request &request) {
-  const Time now = request.ArrivedAt;
+std::variant<Admission, LocalResponse>
+Session::checkHead(const platform::RequestHead &head, Time now) {
   const std::optional<routing::StopSchedule> stop = Context.stopSchedule();
   if (stop && now >= stop->admissionEnd()) {
     Writer.disableKeepAlive();
@@ -383,33 +266,40 @@
     // On its next connection the caller may be sent to another router.
     Writer.disableKeepAlive();
     return LocalResponse{503, "router_overloaded",
-                         routing::overloadRetryAfter(request.Head.RequestId)};
+                         routing::overloadRetryAfter(head.RequestId)};
   }
   routing::IncomingRequest incoming;
-  incoming.HostName = request.Head.HostName;
-  incoming.Path = request.Head.Path;
-  incoming.ApiKey = request.Head.ApiKey;
-  incoming.RequestId = request.Head.RequestId;
-  incoming.Timeout = request.Head.Timeout;
+  incoming.HostName = head.HostName;
+  incoming.Path = head.Path;
+  incoming.ApiKey = head.ApiKey;
+  incoming.RequestId = head.RequestId;
+  incoming.Timeout = head.Timeout;
   routing::AdmissionPolicy policy;
   policy.RevocationBound = Context.Settings.Bounds.RevocationBound;
   std::variant<Admission, LocalResponse> admitted =
       routing::admit(incoming, Context.refreshView(now),
                      Context.Shared.configAge(now), policy);
-  if (const LocalResponse *localResponse =
-          std::get_if<LocalResponse>(&admitted)) {
-    return *localResponse;
-  }
-  Admission &admission = std::get<Admission>(admitted);
-  if (stop) {
-    if (!stop->admits(Context.Durations.expected(admission.Route->Name), now)) {
+  auto *admission = std::get_if<Admission>(&admitted);
+  if (admission != nullptr && stop) {
+    if (!stop->admits(Context.Durations.expected(admission->Route->Name),
+                      now)) {
       Writer.disableKeepAlive();
       return LocalResponse{503, "stopping", Duration{0}};
     }
-    admission.TimeLimit =
-        std::min(admission.TimeLimit, stop->requestEnd() - now);
+    admission->TimeLimit =
+        std::min(admission->TimeLimit, stop->requestEnd() - now);
+  }
+  return admitted;
+}
+
+/// Returns the router's own response when the request is rejected.
+std::optional<LocalResponse> Session::admitRequest(Request &request) {
+  const Time now = request.ArrivedAt;
+  std::variant<Admission, LocalResponse> checked = checkHead(request.Head, now);
+  if (const auto *rejected = std::get_if<LocalResponse>(&checked)) {
+    return *rejected;
   }
-  request.Admitted = std::move(admission);
+  request.Admitted = std::move(std::get<Admission>(checked));
   routing::RequestContent content;
   content.Team = request.Admitted->Team.Text;
   content.Method = toView(request.Message.method_string());
--- a/packages/gateway/src/settings.cpp
+++ b/packages/gateway/src/settings.cpp
@@ -128,6 +128,11 @@
   out.MetricsAddress = gateway.readAddress("metrics");
   out.MaxDescriptors = static_cast<std::size_t>(gateway.readNumber(
       "descriptors", static_cast<double>(out.MaxDescriptors)));
+  constexpr double bytesPerMb = 1U << 20U;
+  out.MemoryBytes = static_cast<std::size_t>(
+      gateway.readNumber("memory_mb",
+                         static_cast<double>(out.MemoryBytes) / bytesPerMb) *
+      bytesPerMb);
   out.ProcessorShare = gateway.readNumber("processor_quota", 1) *
                        gateway.readNumber("processor_speed", 1);
   MemberReader store(root, "store", true, errors);
--- a/packages/gateway/src/settings.h
+++ b/packages/gateway/src/settings.h
@@ -37,6 +37,9 @@
   milliseconds MinLeaseTtl{1'000};
   /// File descriptors that the process may open.
   std::size_t MaxDescriptors = 1024;
+  /// Memory that the process may use; without the member that of the smallest
+  /// hosts.
+  std::size_t MemoryBytes = std::size_t{88} << 20U;
   /// Processor time that the host allots to this process, in cores of the
   /// fleet's reference speed; only the ratio between hosts matters.
   double ProcessorShare = 1;
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -64,6 +64,9 @@
               {},
               BufferBudget(MaxBufferedResponseBytes),
               CallerConnections(settings.MaxDescriptors),
+              routing::CallerBudget(
+                  {routing::callerBudgetBytes(settings.MemoryBytes)}),
+              CallerRefusals(metrics, "callers"),
               routing::HostOverload({}),
               {},
               0,
@@ -71,6 +74,10 @@
       Control(control),
       Listener(Io, settings.CallerEndpoint,
                [this](CallerListener::Socket caller) {
+                 if (!Context.Callers.makeRoom()) {
+                   Context.Refusals.count("connections", bootTimeNow());
+                   return;
+                 }
                  spawn(Io, serveCaller(Context, std::move(caller)));
                }) {}
 
@@ -127,6 +134,7 @@
       continue;
     }
     Context.Counters.setOpenRequests(Context.RequestsInFlight);
+    Context.Counters.setCallerMemory(Context.CallerMemory.heldBytes());
     Context.Counters.setStateAge("configuration",
                                  toSeconds(Context.Shared.configAge(now)));
     Context.Counters.setStateAge(
--- a/packages/gateway/src/traffic_server.h
+++ b/packages/gateway/src/traffic_server.h
@@ -5,8 +5,10 @@
 #include "buffer_budget.h"
 #include "caller_connections.h"
 #include "caller_listener.h"
+#include "caller_refusals.h"
 #include "control_server.h"
 #include "metrics.h"
+#include "nutmegsill/routing/caller_budget.h"
 #include "nutmegsill/routing/dispatcher.h"
 #include "nutmegsill/routing/host_overload.h"
 #include "nutmegsill/routing/stop_schedule.h"
@@ -34,6 +36,8 @@
   TargetConnectionPool TargetConnections;
   BufferBudget ResponseBuffers;
   CallerConnections Callers;
+  routing::CallerBudget CallerMemory;
+  CallerRefusals Refusals;
   routing::HostOverload Overload;
   routing::RouteDurations Durations;
   std::size_t RequestsInFlight = 0;
--- a/packages/gateway/test/gateway_callers_peer_port_test.cpp
+++ b/packages/gateway/test/gateway_callers_peer_port_test.cpp
@@ -105,8 +105,10 @@
   writeTargetEntry(*FirstTarget, "ready", target.address());
   Store->erase("servers/" + SecondTarget->id());
   std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  constexpr int count = 24;
   std::vector<std::thread> callers;
-  for (int i = 0; i < 24; ++i) {
+  callers.reserve(count);
+  for (int i = 0; i < count; ++i) {
     callers.emplace_back(
         [this, &path, i] { sendRequest(path, "t-" + std::to_string(i)); });
   }
--- a/packages/gateway/test/json_server_test.cpp
+++ b/packages/gateway/test/json_server_test.cpp
@@ -36,8 +36,9 @@
   tcp::acceptor acceptor = listenAt(
       io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0), ec);
   REQUIRE_FALSE(ec);
-  spawn(io,
-        serveJson(acceptor, [](std::string_view) { return JsonResponse(); }));
+  spawn(io, serveJson(
+                acceptor, [](std::string_view) { return JsonResponse(); }, 8,
+                [] {}));
   tcp::socket caller(io);
   caller.connect(acceptor.local_endpoint(), ec);
   REQUIRE_FALSE(ec);
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -1,5 +1,7 @@
 #include "nutmegsill/http_client.h"
 
+#include "nutmegsill/whole_head.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -22,6 +24,7 @@
 /// Bounds what the parser keeps while it waits for the end of a chunk's
 /// extension, or of a trailer: the HTTP library throws at fields of 64 KB.
 constexpr std::size_t MaxReadAheadBytes = 62U << 10U;
+constexpr std::uint32_t MaxHeadBytes = 8U << 10U;
 constexpr std::size_t MaxIdlePerEndpoint = 8;
 /// Time limit for connecting. A lost SYN is sent again only after a second; the
 /// shorter limit lets a new attempt start earlier.
@@ -101,7 +104,10 @@
   beast::flat_buffer buf(MaxReadAheadBytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(MaxResponseBodyBytes);
-  co_await http::async_read(stream, buf, parser, completionToken());
+  ec = co_await readParsedHead(stream, buf, parser, MaxHeadBytes);
+  if (!ec && !parser.is_done()) {
+    co_await http::async_read(stream, buf, parser, completionToken());
+  }
   if (ec) {
     response.Reason = "incomplete response: " + ec.message();
     response.TimedOut = ec == beast::error::timeout;
