--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -104,6 +104,9 @@
               {},
               BufferBudget(MaxBufferedResponseBytes),
               CallerConnections(settings.MaxDescriptors),
+              routing::CallerBudget(
+                  {routing::callerBudgetBytes(settings.MemoryBytes)}),
+              CallerRefusals(metrics, "callers"),
               routing::HostOverload({}),
               routing::Handover(settings.Host, settings.ProcessorShare, {}),
               {},
@@ -117,6 +120,10 @@
              }),
       Listener(Io, settings.CallerEndpoint,
                [this](CallerListener::Socket caller) {
+                 if (!Context.Callers.makeRoom()) {
+                   Context.Refusals.count("connections", bootTimeNow());
+                   return;
+                 }
                  spawn(Io, serveCaller(Context, std::move(caller)));
                }) {}
 
@@ -183,6 +190,7 @@
       Relays.setStallTimeout(Context.View->Config->Limits.IdleTimeout);
     }
     Context.Counters.setOpenRequests(Context.RequestsInFlight);
+    Context.Counters.setCallerMemory(Context.CallerMemory.heldBytes());
     Context.Counters.setStateAge("configuration",
                                  toSeconds(Context.Shared.configAge(now)));
     Context.Counters.setStateAge(
--- a/packages/gateway/src/traffic_server.h
+++ b/packages/gateway/src/traffic_server.h
@@ -5,11 +5,13 @@
 #include "buffer_budget.h"
 #include "caller_connections.h"
 #include "caller_listener.h"
+#include "caller_refusals.h"
 #include "connection_relay.h"
 #include "control_server.h"
 #include "handover_listener.h"
 #include "metrics.h"
 #include "nutmegsill/platform/headers.h"
+#include "nutmegsill/routing/caller_budget.h"
 #include "nutmegsill/routing/dispatcher.h"
 #include "nutmegsill/routing/handover.h"
 #include "nutmegsill/routing/hedging.h"
@@ -40,6 +42,8 @@
   TargetConnectionPool TargetConnections;
   BufferBudget ResponseBuffers;
   CallerConnections Callers;
+  routing::CallerBudget CallerMemory;
+  CallerRefusals Refusals;
   routing::HostOverload Overload;
   routing::Handover Handover;
   routing::RouteDurations Durations;
--- a/packages/process/src/metrics.h
+++ b/packages/process/src/metrics.h
@@ -50,6 +50,11 @@
   void countHedge(bool won);
   /// Counts a request that waited for a place at a target, by how that ended.
   void countPlaceWait(const std::string &outcome);
+  /// Counts a caller at `port` that was refused or closed for a limit of the
+  /// router.
+  void countCallerRefusal(const std::string &port, const std::string &reason);
+  /// Sets the bytes that callers hold.
+  void setCallerMemory(std::size_t bytes);
 
 private:
   struct Implementation;
--- a/packages/standins/src/local_fleet.cpp
+++ b/packages/standins/src/local_fleet.cpp
@@ -90,6 +90,7 @@
   addresses.ReadinessAddress = freeLoopbackAddress();
   addresses.DirectoryAddress = freeLoopbackAddress();
   addresses.MetricsAddress = freeLoopbackAddress();
+  addresses.PeerAddress = freeLoopbackAddress();
   json settings{
       {"gateway",
        {{"host", addresses.Host},
@@ -97,7 +98,7 @@
         {"callers", addresses.CallerAddress},
         {"readiness", addresses.ReadinessAddress},
         {"directory", addresses.DirectoryAddress},
-        {"peer", freeLoopbackAddress()},
+        {"peer", addresses.PeerAddress},
         {"metrics", addresses.MetricsAddress},
         {"descriptors", MaxDescriptors},
         {"processor_quota", ProcessorQuota}}},
@@ -115,6 +116,9 @@
     settings["hedging"] = {{"budget", HedgingBudget}};
   }
   settings["bounds"].update(json::parse(ExtraBounds));
+  if (MemoryMb > 0) {
+    settings["gateway"]["memory_mb"] = MemoryMb;
+  }
   const std::string path = TempDir + "/" + addresses.Host + ".json";
   std::ofstream(path) << settings.dump();
   RouterProcesses.push_back(launchRouter(addresses.Host));
--- a/packages/standins/src/local_fleet.h
+++ b/packages/standins/src/local_fleet.h
@@ -24,6 +24,7 @@
   std::string ReadinessAddress;
   std::string DirectoryAddress;
   std::string MetricsAddress;
+  std::string PeerAddress;
 };
 
 class LocalFleet {
@@ -96,6 +97,9 @@
   /// Whether routers added from now on take connections over and hand them
   /// over.
   bool HasHandover = false;
+  /// Memory of the host in the settings of routers added from now on, in MB;
+  /// absent if 0.
+  int MemoryMb = 0;
 };
 
 } // namespace nutmegsill::standin
