Show the response that a test of limits did not expect

Two cases of gateway_limits_test failed now and then beside other builds (load 22 to 34 on 7 cores). All responses seen with this output had status 0: the connection gave no response header.

--- a/packages/gateway/test/gateway_limits_test.cpp
+++ b/packages/gateway/test/gateway_limits_test.cpp
@@ -31,6 +31,7 @@
       next.Path = path;
       next.RequestId = "limit-" + std::to_string(++LastRequest);
       const RawResponse response = RawCaller(router.CallerAddress).send(next);
+      CAPTURE(next.Path, next.RequestId, response.Status, response.Body);
       CHECK((response.Status == 200 || response.Status == 503));
       if (response.Status == 503) {
         CHECK_FALSE(response.headerField("Retry-After").empty());
