--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -259,7 +259,9 @@
         return taken;
       },
       [this](CallerListener::Socket relayed) {
-        spawn(Io, serveCaller(Context, std::move(relayed), true));
+        if (Context.Callers.makeRoom()) {
+          spawn(Io, serveCaller(Context, std::move(relayed), true));
+        }
       });
   return TakenOver->start();
 }
