--- a/packages/process/src/peer_gate.cpp
+++ b/packages/process/src/peer_gate.cpp
@@ -106,7 +106,7 @@
   }
 
   tcp::socket Outer;
-  asio::local::stream_protocol::socket Inner;
+  tcp::socket Inner;
   PeerFrames Frames;
   /// When the handshake, or the unfinished frame, began.
   Time FrameSince;
@@ -114,10 +114,10 @@
 };
 
 struct PeerGate::State {
-  State(asio::io_context &io, std::string inner, PeerGateLimits limits,
+  State(asio::io_context &io, const Endpoint &inner, PeerGateLimits limits,
         Metrics &metrics)
-      : Io(io), Acceptor(io), Timer(io), InnerPath(std::move(inner)),
-        Limits(limits), Refusals(metrics, "peers") {}
+      : Io(io), Acceptor(io), Timer(io), Inner(inner), Limits(limits),
+        Refusals(metrics, "peers") {}
 
   void close(const std::shared_ptr<Connection> &connection,
              const char *reason) {
@@ -133,7 +133,7 @@
   asio::io_context &Io;
   tcp::acceptor Acceptor;
   asio::steady_timer Timer;
-  std::string InnerPath;
+  Endpoint Inner;
   PeerGateLimits Limits;
   CallerRefusals Refusals;
   std::list<std::shared_ptr<Connection>> Open;
@@ -168,9 +168,9 @@
 }
 
 PeerGate::PeerGate(asio::io_context &io, const Endpoint &endpoint,
-                   std::string inner, PeerGateLimits limits, Metrics &metrics)
-    : Shared(std::make_shared<State>(io, std::string(1, '\0') + inner, limits,
-                                     metrics)) {
+                   const Endpoint &inner, PeerGateLimits limits,
+                   Metrics &metrics)
+    : Shared(std::make_shared<State>(io, inner, limits, metrics)) {
   Shared->Acceptor.open(endpoint.protocol());
   Shared->Acceptor.set_option(asio::socket_base::reuse_address(true));
   Shared->Acceptor.bind(endpoint);
@@ -205,8 +205,10 @@
     outer.set_option(tcp::no_delay(true), ec);
     auto connection = std::make_shared<Connection>(std::move(outer),
                                                    state->Limits, steadyNow());
-    connection->Inner.connect(
-        asio::local::stream_protocol::endpoint(state->InnerPath), ec);
+    connection->Inner.connect(state->Inner, ec);
+    if (!ec) {
+      connection->Inner.set_option(tcp::no_delay(true), ec);
+    }
     if (ec) {
       state->Refusals.count("not_passed_on", steadyNow());
       continue;
--- a/packages/process/src/peer_gate.h
+++ b/packages/process/src/peer_gate.h
@@ -9,7 +9,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/local/stream_protocol.hpp>
 
 #include <cstddef>
 #include <list>
@@ -64,10 +63,10 @@
 /// For use from one executor only.
 class PeerGate {
 public:
-  /// Listens at `endpoint`; `inner` is the abstract local address, without its
-  /// first zero byte, at which ZeroMQ listens. Throws if it cannot listen.
+  /// Listens at `endpoint`; ZeroMQ listens at the loopback address `inner`.
+  /// Throws if it cannot listen.
   PeerGate(boost::asio::io_context &io, const Endpoint &endpoint,
-           std::string inner, PeerGateLimits limits, Metrics &metrics);
+           const Endpoint &inner, PeerGateLimits limits, Metrics &metrics);
   ~PeerGate();
   PeerGate(const PeerGate &) = delete;
   PeerGate &operator=(const PeerGate &) = delete;
--- a/packages/process/src/peer_socket.cpp
+++ b/packages/process/src/peer_socket.cpp
@@ -107,18 +107,20 @@
     ReceiveSocket.set(zmq::sockopt::zap_domain, "nutmegsill");
   }
   ReceiveSocket.set(zmq::sockopt::rcvhwm, MaxQueuedReceived);
-  // The address that is bound is unique on a host.
-  const std::string inner = "nutmegsill-peers-" + address;
-  ReceiveSocket.bind("ipc://@" + inner);
+  // Local sockets are not available on all hosts.
+  ReceiveSocket.bind("tcp://127.0.0.1:*");
+  const std::string bound = ReceiveSocket.get(zmq::sockopt::last_endpoint);
+  const std::optional<Endpoint> inner =
+      parseEndpoint(bound.substr(std::string_view("tcp://").size()));
   const std::optional<Endpoint> endpoint = parseEndpoint(address);
-  if (!endpoint) {
+  if (!endpoint || !inner) {
     throw std::invalid_argument("peer address is not of the form IP:port");
   }
   PeerGateLimits limits;
   limits.MaxConnections = Options.MaxConnections;
   limits.MaxFrameBytes = MaxMessageBytes;
   limits.AllowsParts = Options.Curve.has_value();
-  Gate.emplace(io, *endpoint, inner, limits, Counters);
+  Gate.emplace(io, *endpoint, *inner, limits, Counters);
   AuthDescriptor.assign(AuthSocket.get(zmq::sockopt::fd));
   ReceiveDescriptor.assign(ReceiveSocket.get(zmq::sockopt::fd));
   waitForMessages(AuthDescriptor);
