Move callers of kept connections while hand-over is active

Change: while a peer takes connections over, a response to a connection that the host serves itself ends it; the caller's next one is handed over.

--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -267,9 +267,11 @@
     Request request;
     request.ArrivedAt = bootTimeNow();
     request.Message = Reader.release();
-    Writer.reset(request.Message.keep_alive() && !Context.Shared.isDraining() &&
-                     Context.Callers.mayKeepAlive(),
-                 request.Message.method() == http::verb::head);
+    Writer.reset(
+        request.Message.keep_alive() && !Context.Shared.isDraining() &&
+            Context.Callers.mayKeepAlive() &&
+            !(Context.Handover.movesCallers(request.ArrivedAt) && !HandedOver),
+        request.Message.method() == http::verb::head);
     ++Context.RequestsInFlight;
     co_await serveRequest(request);
     --Context.RequestsInFlight;
--- a/packages/routing/include/nutmegsill/routing/handover.h
+++ b/packages/routing/include/nutmegsill/routing/handover.h
@@ -92,6 +92,10 @@
   std::optional<Peer> choosePeer(Time now);
   /// Whether some peer may be chosen now.
   bool hasPeer(Time now) const;
+  /// Whether a connection that this host serves is to end with its response:
+  /// the caller's next one is handed over. Kept connections alone can saturate
+  /// a small host.
+  bool movesCallers(Time now) { return isActive(now) && hasPeer(now); }
   void recordRefusal(const HostId &peer, Time now);
   void recordFailure(const HostId &peer, Time now);
 
--- a/packages/routing/test/handover_test.cpp
+++ b/packages/routing/test/handover_test.cpp
@@ -202,4 +202,21 @@
   CHECK(load.capacity() < calm / 2);
 }
 
+// Guards against a host that its kept connections alone saturate.
+TEST_CASE("handover_saturated_host_moves_callers_of_kept_connections") {
+  FleetView view;
+  view.Version = 1;
+  view.Routers = {entry("s0", SmallQuota), entry("l0", LargeQuota)};
+  Handover small(HostId{"s0"}, SmallQuota, {});
+  small.setView(view);
+  CHECK_FALSE(small.movesCallers(Time(milliseconds(0))));
+  for (int i = 0; i < 200; ++i) {
+    small.recordRequest(ExecutionSemantics::Stream, false,
+                        Time(milliseconds(i)));
+  }
+  CHECK(small.movesCallers(Time(milliseconds(200))));
+  small.recordRefusal(HostId{"l0"}, Time(milliseconds(200)));
+  CHECK_FALSE(small.movesCallers(Time(milliseconds(201))));
+}
+
 } // namespace nutmegsill::routing
