Let requests within a share wait for a little less

Change: waits as at 1.8 used shares. In the test with 97 routers teams get between 0.9 and 1.1 of their shares; with 2.0 0.894 to 1.106, with 2.4 0.868 to 1.134.

--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -182,10 +182,10 @@
   /// beyond that.
   double LimitShareExponent = 4;
   /// Highest used share by which the wait of requests within the share of
-  /// their team falls: to 0.65 of the objective. With 2.2 engines idle while
-  /// reports are late, with 1 their queues grow and more responses are late
-  /// (docs/design/fleet-capacity.md).
-  double MaxUsageWithinShare = 1.5;
+  /// their team falls: to 0.58 of the objective. With 2 teams differ by more
+  /// than a tenth of their shares while reports are late, with 1.5 more
+  /// responses are late (docs/design/fleet-capacity.md).
+  double MaxUsageWithinShare = 1.8;
   /// Queueing time allowed to a prompt whose own prefill takes most of the time
   /// that its team may wait, as a fraction of that time.
   double LargePromptWaitFraction = 0.25;
