Keep a host's configuration from going back where connections are relayed

Change: a peer takes a connection over with its configuration's revision; it is relayed only if both hosts have the same, and takes no further request after a change at either.

--- a/packages/gateway/src/connection_relay.cpp
+++ b/packages/gateway/src/connection_relay.cpp
@@ -24,6 +24,23 @@
 
 } // namespace
 
+TakeOverBytes encodeTakeOver(ConfigRevision revision) {
+  TakeOverBytes out{};
+  for (std::size_t i = 0; i < out.size(); ++i) {
+    out[i] = static_cast<char>(revision.Value >> (8 * i));
+  }
+  return out;
+}
+
+ConfigRevision decodeTakeOver(const TakeOverBytes &bytes) {
+  std::uint64_t value = 0;
+  for (std::size_t i = 0; i < bytes.size(); ++i) {
+    value |= static_cast<std::uint64_t>(static_cast<unsigned char>(bytes[i]))
+             << (8 * i);
+  }
+  return ConfigRevision{value};
+}
+
 ConnectionRelays::ConnectionRelays(asio::io_context &io,
                                    routing::Handover &handover,
                                    Metrics &metrics, std::size_t maxRelays,
@@ -123,6 +140,18 @@
   NewBytes = 0;
 }
 
+void ConnectionRelays::setRevision(ConfigRevision revision) {
+  if (revision == Revision) {
+    return;
+  }
+  Revision = revision;
+  for (const std::shared_ptr<Relay> &it : Relays) {
+    if (!it->isConnecting()) {
+      it->endSending();
+    }
+  }
+}
+
 void ConnectionRelays::endSending() {
   for (const std::shared_ptr<Relay> &it : Relays) {
     it->endSending();
--- a/packages/gateway/src/connection_relay.h
+++ b/packages/gateway/src/connection_relay.h
@@ -9,6 +9,7 @@
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -17,9 +18,13 @@
 
 namespace nutmegsill::gateway {
 
-/// The byte with which a host takes a connection over. Nothing of the caller is
-/// sent before it, so that a host that refuses has run nothing.
-constexpr char TakenOver = 'T';
+/// With these bytes a host takes a connection over. They name the revision of
+/// the configuration that it serves the connection by: to callers both hosts
+/// are one, whose configuration must not go back. Nothing of the caller is sent
+/// before them, so that a host that refuses has run nothing.
+using TakeOverBytes = std::array<char, 8>;
+TakeOverBytes encodeTakeOver(ConfigRevision revision);
+ConfigRevision decodeTakeOver(const TakeOverBytes &bytes);
 
 /// The connections that this host relays. Their sockets are in an epoll set of
 /// their own, since the event loop's needs more system calls for each of them.
@@ -42,6 +47,9 @@
   bool take(int caller, Time now);
   /// Time after which a connection is ended whose caller takes no bytes.
   void setStallTimeout(Duration timeout) { StallTimeout = timeout; }
+  /// Sets the revision of this host's configuration. Connections that peers
+  /// serve by an earlier one take no further request.
+  void setRevision(ConfigRevision revision);
   /// Tells the peers that no further request follows.
   void endSending();
   /// Resets all connections.
@@ -67,6 +75,7 @@
   /// on some hosts.
   Time Now{};
   Duration StallTimeout;
+  ConfigRevision Revision;
   boost::asio::posix::stream_descriptor Events;
   std::set<std::shared_ptr<Relay>> Relays;
   /// Relays that have ended, until the events that may name them are handled.
--- a/packages/gateway/src/handover_listener.cpp
+++ b/packages/gateway/src/handover_listener.cpp
@@ -25,11 +25,11 @@
 
 } // namespace
 
-HandoverListener::HandoverListener(asio::io_context &io, tcp::endpoint endpoint,
-                                   std::function<bool(Time)> mayTakeOver,
-                                   std::function<void(Socket)> onConnection)
-    : Io(io), Endpoint(std::move(endpoint)),
-      MayTakeOver(std::move(mayTakeOver)),
+HandoverListener::HandoverListener(
+    asio::io_context &io, tcp::endpoint endpoint,
+    std::function<std::optional<ConfigRevision>(Time)> takeOver,
+    std::function<void(Socket, ConfigRevision)> onConnection)
+    : Io(io), Endpoint(std::move(endpoint)), TakeOver(std::move(takeOver)),
       OnConnection(std::move(onConnection)), Acceptor(io) {}
 
 std::optional<std::string> HandoverListener::start() {
@@ -53,13 +53,15 @@
 }
 
 void HandoverListener::take(Socket socket, Time now) {
-  if (!MayTakeOver(now)) {
+  const std::optional<ConfigRevision> revision = TakeOver(now);
+  if (!revision) {
     return;
   }
-  const ssize_t sent = ::send(socket.native_handle(), &TakenOver,
-                              sizeof(TakenOver), MSG_DONTWAIT | MSG_NOSIGNAL);
-  if (sent == sizeof(TakenOver)) {
-    OnConnection(std::move(socket));
+  const TakeOverBytes bytes = encodeTakeOver(*revision);
+  const ssize_t sent = ::send(socket.native_handle(), bytes.data(),
+                              bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  if (sent == static_cast<ssize_t>(bytes.size())) {
+    OnConnection(std::move(socket), *revision);
   }
 }
 
--- a/packages/gateway/src/handover_listener.h
+++ b/packages/gateway/src/handover_listener.h
@@ -18,12 +18,13 @@
 public:
   using Socket = boost::asio::ip::tcp::socket;
 
-  /// Calls `onConnection` with each connection that `mayTakeOver` allows and
-  /// closes the others at once.
+  /// `takeOver` returns the revision of the configuration by which a connection
+  /// is served, or nothing: it is closed at once then. Calls `onConnection`
+  /// with the others.
   HandoverListener(boost::asio::io_context &io,
                    boost::asio::ip::tcp::endpoint endpoint,
-                   std::function<bool(Time)> mayTakeOver,
-                   std::function<void(Socket)> onConnection);
+                   std::function<std::optional<ConfigRevision>(Time)> takeOver,
+                   std::function<void(Socket, ConfigRevision)> onConnection);
 
   /// Opens the socket; returns why it failed, or nothing.
   std::optional<std::string> start();
@@ -35,8 +36,8 @@
 
   boost::asio::io_context &Io;
   boost::asio::ip::tcp::endpoint Endpoint;
-  std::function<bool(Time)> MayTakeOver;
-  std::function<void(Socket)> OnConnection;
+  std::function<std::optional<ConfigRevision>(Time)> TakeOver;
+  std::function<void(Socket, ConfigRevision)> OnConnection;
   boost::asio::ip::tcp::acceptor Acceptor;
 };
 
--- a/packages/gateway/src/relayed_connection.cpp
+++ b/packages/gateway/src/relayed_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "target_connection_pool.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -173,7 +174,14 @@
   if (n && *n == 0) {
     return;
   }
-  if (!n || *n != 1 || Peer.Bytes[0] != TakenOver) {
+  TakeOverBytes answer{};
+  const bool isTaken = n && *n == answer.size();
+  if (isTaken) {
+    std::copy_n(Peer.Bytes.begin(), answer.size(), answer.begin());
+  }
+  // A peer with another configuration than this host serves none of its
+  // callers.
+  if (!isTaken || decodeTakeOver(answer) != Owner.Revision) {
     // A peer that closes at once is saturated.
     if (error == 0 || error == ECONNRESET) {
       Owner.Handover.recordRefusal(Host, Owner.Now);
--- a/packages/gateway/src/relayed_connection.h
+++ b/packages/gateway/src/relayed_connection.h
@@ -60,6 +60,8 @@
   void checkTimes(Time now);
   void endSending();
   void reset();
+  /// Whether no peer has taken the connection over yet.
+  bool isConnecting() const { return State == Phase::Connecting; }
 
 private:
   enum class Phase { Connecting, Relaying, Draining, Closed };
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -38,6 +38,10 @@
 /// that state one: what is known of targets also changes with its age.
 constexpr milliseconds PlaceCheckInterval{20};
 
+/// Retry-After of a relayed request that arrives after a change of the
+/// configuration: within it the relaying host usually has the new one too.
+constexpr milliseconds ChangedConfigRetryAfter{300};
+
 /// Time beyond a timeout for bytes that had arrived before it; a process that
 /// was suspended finds its timers expired.
 constexpr milliseconds ReadTime{100};
@@ -51,9 +55,10 @@
 
 class Session : public CallerConnection {
 public:
-  Session(SessionContext &context, tcp::socket caller, bool handedOver)
-      : Context(context), HandedOver(handedOver),
-        CallerSocket(std::move(caller)), Timer(CallerSocket.get_executor()),
+  Session(SessionContext &context, tcp::socket caller,
+          std::optional<ConfigRevision> relayedBy)
+      : Context(context), RelayedBy(relayedBy), CallerSocket(std::move(caller)),
+        Timer(CallerSocket.get_executor()),
         Writer(CallerSocket, &context.ResponseBuffers),
         Reader(context, CallerSocket, Writer) {}
 
@@ -117,8 +122,8 @@
   SessionContext &Context;
   /// A request of the connection has been served.
   bool HasServed = false;
-  /// Another host relays the connection.
-  const bool HandedOver;
+  /// The configuration of the host that relays the connection, if any.
+  const std::optional<ConfigRevision> RelayedBy;
   /// When the request ends at the latest, since that host stops.
   std::optional<Time> RelayEndsAt;
   tcp::socket CallerSocket;
@@ -200,29 +205,30 @@
     return;
   }
   WatchingCaller = true;
-  CallerSocket.async_wait(
-      RelayEndsAt ? tcp::socket::wait_error : tcp::socket::wait_read,
-      [this, lifetime = std::weak_ptr<bool>(LifetimeToken)](
-          boost::system::error_code ec) {
-        if (lifetime.expired()) {
-          return;
-        }
-        WatchingCaller = false;
-        if (CurrentExchange == nullptr && !WaitsForPlace) {
-          return;
-        }
-        if (ec == asio::error::operation_aborted) {
-          // Cancelled while the request was awaited.
-          watchCaller();
-          return;
-        }
-        const SocketState state = peekSocket(CallerSocket, HandedOver);
-        if (hasLeft(state)) {
-          cancel(CancelCause::CallerDisconnected);
-        } else if (state != SocketState::HasData) {
-          watchCaller();
-        }
-      });
+  CallerSocket.async_wait(RelayEndsAt ? tcp::socket::wait_error
+                                      : tcp::socket::wait_read,
+                          [this, lifetime = std::weak_ptr<bool>(LifetimeToken)](
+                              boost::system::error_code ec) {
+                            if (lifetime.expired()) {
+                              return;
+                            }
+                            WatchingCaller = false;
+                            if (CurrentExchange == nullptr && !WaitsForPlace) {
+                              return;
+                            }
+                            if (ec == asio::error::operation_aborted) {
+                              // Cancelled while the request was awaited.
+                              watchCaller();
+                              return;
+                            }
+                            const SocketState state =
+                                peekSocket(CallerSocket, RelayedBy.has_value());
+                            if (hasLeft(state)) {
+                              cancel(CancelCause::CallerDisconnected);
+                            } else if (state != SocketState::HasData) {
+                              watchCaller();
+                            }
+                          });
 }
 
 bool Session::hasLeft(SocketState state) {
@@ -270,7 +276,7 @@
     Writer.reset(
         request.Message.keep_alive() && !Context.Shared.isDraining() &&
             Context.Callers.mayKeepAlive() &&
-            !(Context.Handover.movesCallers(request.ArrivedAt) && !HandedOver),
+            !(Context.Handover.movesCallers(request.ArrivedAt) && !RelayedBy),
         request.Message.method() == http::verb::head);
     ++Context.RequestsInFlight;
     co_await serveRequest(request);
@@ -304,6 +310,13 @@
     return LocalResponse{503, "router_overloaded",
                          routing::overloadRetryAfter(head.RequestId)};
   }
+  const std::shared_ptr<const routing::FleetView> view =
+      Context.refreshView(now);
+  if (RelayedBy && view && view->Config->Revision != *RelayedBy) {
+    // The relaying host may serve other requests by an older configuration.
+    Writer.disableKeepAlive();
+    return LocalResponse{503, "configuration_changed", ChangedConfigRetryAfter};
+  }
   routing::IncomingRequest incoming;
   incoming.HostName = head.HostName;
   incoming.Path = head.Path;
@@ -313,8 +326,7 @@
   routing::AdmissionPolicy policy;
   policy.RevocationBound = Context.Settings.Bounds.RevocationBound;
   std::variant<Admission, LocalResponse> admitted =
-      routing::admit(incoming, Context.refreshView(now),
-                     Context.Shared.configAge(now), policy);
+      routing::admit(incoming, view, Context.Shared.configAge(now), policy);
   auto *admission = std::get_if<Admission>(&admitted);
   if (admission != nullptr && stop) {
     if (!stop->admits(Context.Durations.expected(admission->Route->Name),
@@ -374,7 +386,7 @@
   ExchangeOutcome outcome;
   for (;;) {
     // The caller may have disconnected while this router was stalled.
-    if (hasLeft(peekSocket(CallerSocket, HandedOver))) {
+    if (hasLeft(peekSocket(CallerSocket, RelayedBy.has_value()))) {
       outcome.CallerDisconnected = true;
       break;
     }
@@ -623,9 +635,9 @@
 } // namespace
 
 asio::awaitable<void> serveCaller(SessionContext &context, tcp::socket caller,
-                                  bool handedOver) {
+                                  std::optional<ConfigRevision> relayedBy) {
   context.Handover.recordConnection(bootTimeNow());
-  Session session(context, std::move(caller), handedOver);
+  Session session(context, std::move(caller), relayedBy);
   co_await session.run();
 }
 
--- a/packages/gateway/src/session.h
+++ b/packages/gateway/src/session.h
@@ -1,17 +1,22 @@
 /// Serves the requests of one caller's connection in order.
 #pragma once
 
+#include "nutmegsill/types.h"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <optional>
+
 namespace nutmegsill::gateway {
 
 struct SessionContext;
 
-/// `handedOver`: another host relays the connection. The end of its sending
-/// side means that no further request follows, not that the caller has left.
-boost::asio::awaitable<void> serveCaller(SessionContext &context,
-                                         boost::asio::ip::tcp::socket caller,
-                                         bool handedOver = false);
+/// `relayedBy`: another host with this configuration relays the connection,
+/// whose requests are served by no other one. The end of its sending side means
+/// that no further request follows, not that the caller has left.
+boost::asio::awaitable<void>
+serveCaller(SessionContext &context, boost::asio::ip::tcp::socket caller,
+            std::optional<ConfigRevision> relayedBy = std::nullopt);
 
 } // namespace nutmegsill::gateway
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -243,24 +243,36 @@
   }
 }
 
+void TrafficServer::setRelayRevision(Time now) {
+  const std::shared_ptr<const routing::FleetView> view =
+      Context.refreshView(now);
+  if (view) {
+    Relays.setRevision(view->Config->Revision);
+  }
+}
+
 std::optional<std::string> TrafficServer::startHandover() {
   if (!Context.Settings.HandoverEndpoint) {
     return std::nullopt;
   }
-  Listener.setRelay(
-      [this](Time now) { return Relays.isRelaying(now); },
-      [this](int caller, Time now) { return Relays.take(caller, now); });
+  Listener.setRelay([this](Time now) { return Relays.isRelaying(now); },
+                    [this](int caller, Time now) {
+                      setRelayRevision(now);
+                      return Relays.take(caller, now);
+                    });
   TakenOver.emplace(
       Io, *Context.Settings.HandoverEndpoint,
-      [this](Time now) {
-        const bool taken =
-            !Context.stopSchedule() && Context.Handover.mayTakeOver(now);
+      [this](Time now) -> std::optional<ConfigRevision> {
+        const std::shared_ptr<const routing::FleetView> view =
+            Context.refreshView(now);
+        const bool taken = view && !Context.stopSchedule() &&
+                           Context.Handover.mayTakeOver(now);
         Context.Counters.countOfferedConnection(taken ? "taken" : "refused");
-        return taken;
+        return taken ? std::optional(view->Config->Revision) : std::nullopt;
       },
-      [this](CallerListener::Socket relayed) {
+      [this](CallerListener::Socket relayed, ConfigRevision revision) {
         if (Context.Callers.makeRoom()) {
-          spawn(Io, serveCaller(Context, std::move(relayed), true));
+          spawn(Io, serveCaller(Context, std::move(relayed), revision));
         }
       });
   return TakenOver->start();
@@ -279,6 +291,7 @@
 }
 
 void TrafficServer::recordLag(Duration lag, Time now) {
+  setRelayRevision(now);
   if (now >= NextTargetCheckAt) {
     NextTargetCheckAt = now + TargetCheckInterval;
     Context.Callers.checkTargets(now);
--- a/packages/gateway/src/traffic_server.h
+++ b/packages/gateway/src/traffic_server.h
@@ -85,6 +85,8 @@
   boost::asio::awaitable<void> reportLoad();
   /// Opens the address for hand-over, if it is set; returns why it failed.
   std::optional<std::string> startHandover();
+  /// Tells the relays of a change of the configuration.
+  void setRelayRevision(Time now);
   void recordLag(Duration lag, Time now);
   /// Hands on what was decided on roll-outs.
   void publishRollouts();
--- a/packages/gateway/test/gateway_handover_test.cpp
+++ b/packages/gateway/test/gateway_handover_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <thread>
@@ -243,4 +244,33 @@
   acceptor.join();
 }
 
+// Guards against a configuration that goes back for the callers of a host whose
+// connections are served here and there: a peer with another one must not serve
+// the next request.
+TEST_CASE_METHOD(GatewayHandoverFixture,
+                 "handover_relayed_connection_ends_with_its_configuration") {
+  startHandover();
+  RawCaller kept(Routers[0].CallerAddress);
+  RawRequest request;
+  request.Path = "/safe/a";
+  request.RequestId = "before-change";
+  REQUIRE(kept.send(request).Status == 200);
+  writeConfig(configText(30, "\"key-prints\", \"key-new\""));
+  REQUIRE(waitUntil([&] {
+    return std::all_of(Routers.begin(), Routers.end(), [&](const auto &it) {
+      RawRequest keyed;
+      keyed.Path = "/keyed/a";
+      keyed.ApiKey = "key-new";
+      keyed.RequestId = "keyed";
+      return RawCaller(it.CallerAddress).send(keyed).Status == 200;
+    });
+  }));
+  request.RequestId = "after-change";
+  CHECK(kept.send(request).Status != 200);
+  CHECK(FirstTarget->runCount("after-change") +
+            SecondTarget->runCount("after-change") ==
+        0);
+  CHECK(waitUntil([&] { return sendRequest("/safe/a", "new").Status == 200; }));
+}
+
 } // namespace nutmegsill::standin
