Serve relayed callers here after a change of the configuration

Change: what callers send after the change is left unread; once the peer has completed its response and closed, this host serves the connection.

--- a/packages/gateway/src/relayed_connection.cpp
+++ b/packages/gateway/src/relayed_connection.cpp
@@ -205,6 +205,14 @@
 void ConnectionRelays::Relay::readCaller() {
   while (Caller.Readable && Caller.isEmpty() &&
          (State == Phase::Relaying || State == Phase::Draining)) {
+    if (State == Phase::Relaying && SendingEnds && SendingEnded) {
+      // This host serves what follows, once the peer is done.
+      if (Caller.Ended) {
+        resetConnection(Peer.Fd);
+        finish();
+      }
+      return;
+    }
     int error = 0;
     const std::optional<std::size_t> n = readSome(Caller, error);
     if (!n) {
@@ -280,6 +288,10 @@
     finish();
     return;
   }
+  if (SendingEnds && SendingEnded) {
+    serveHere();
+    return;
+  }
   if (RequestBytes < RequestBufferBytes) {
     finish();
     return;
@@ -347,6 +359,7 @@
 void ConnectionRelays::Relay::serveHere() {
   State = Phase::Closed;
   closeConnection(Peer.Fd);
+  waitFor(Caller, 0);
   boost::system::error_code ec;
   Socket caller(Owner.Io);
   sockaddr_storage address{};
