Let relayed streams outlast a change of the configuration

Change: the peer completes what runs. At its own limit the stopping host answers requests without any response with 504; the time limit at the peer is removed.

--- a/packages/gateway/src/connection_relay.cpp
+++ b/packages/gateway/src/connection_relay.cpp
@@ -158,6 +158,14 @@
   }
 }
 
+void ConnectionRelays::endRequests() {
+  for (auto it = Relays.begin(); it != Relays.end();) {
+    // The relay may end and remove itself.
+    const std::shared_ptr<Relay> relay = *it++;
+    relay->endRequest();
+  }
+}
+
 void ConnectionRelays::reset() {
   while (!Relays.empty()) {
     const std::shared_ptr<Relay> relay = *Relays.begin();
--- a/packages/gateway/src/connection_relay.h
+++ b/packages/gateway/src/connection_relay.h
@@ -52,6 +52,8 @@
   void setRevision(ConfigRevision revision);
   /// Tells the peers that no further request follows.
   void endSending();
+  /// Answers requests for which no peer has begun to respond with 504.
+  void endRequests();
   /// Resets all connections.
   void reset();
   std::size_t size() const { return Relays.size(); }
--- a/packages/gateway/src/relayed_connection.cpp
+++ b/packages/gateway/src/relayed_connection.cpp
@@ -6,6 +6,7 @@
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <string_view>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -356,6 +357,20 @@
   }
 }
 
+void ConnectionRelays::Relay::endRequest() {
+  if (State != Phase::Relaying || RequestBytes == 0 || !Peer.isEmpty()) {
+    return;
+  }
+  constexpr std::string_view response = "HTTP/1.1 504 Gateway Timeout\r\n"
+                                        "Content-Length: 0\r\n"
+                                        "Connection: close\r\n\r\n";
+  // A caller that takes no bytes now gets none before the process ends.
+  (void)::send(Caller.Fd, response.data(), response.size(),
+               MSG_DONTWAIT | MSG_NOSIGNAL);
+  resetConnection(Peer.Fd);
+  finish();
+}
+
 void ConnectionRelays::Relay::serveHere() {
   State = Phase::Closed;
   closeConnection(Peer.Fd);
--- a/packages/gateway/src/relayed_connection.h
+++ b/packages/gateway/src/relayed_connection.h
@@ -59,6 +59,7 @@
   void handle(Side &side, std::uint32_t events);
   void checkTimes(Time now);
   void endSending();
+  void endRequest();
   void reset();
   /// Whether no peer has taken the connection over yet.
   bool isConnecting() const { return State == Phase::Connecting; }
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -124,8 +124,8 @@
   bool HasServed = false;
   /// The configuration of the host that relays the connection, if any.
   const std::optional<ConfigRevision> RelayedBy;
-  /// When the request ends at the latest, since that host stops.
-  std::optional<Time> RelayEndsAt;
+  /// That host forwards no further request.
+  bool RelaySendingEnded = false;
   tcp::socket CallerSocket;
   asio::steady_timer Timer;
   ResponseWriter Writer;
@@ -194,9 +194,6 @@
 void Session::checkTarget(Time now) {
   if (CurrentExchange != nullptr) {
     CurrentExchange->checkAcknowledged(now);
-    if (RelayEndsAt && now >= *RelayEndsAt) {
-      cancel(CancelCause::TimeLimit);
-    }
   }
 }
 
@@ -205,8 +202,8 @@
     return;
   }
   WatchingCaller = true;
-  CallerSocket.async_wait(RelayEndsAt ? tcp::socket::wait_error
-                                      : tcp::socket::wait_read,
+  CallerSocket.async_wait(RelaySendingEnded ? tcp::socket::wait_error
+                                            : tcp::socket::wait_read,
                           [this, lifetime = std::weak_ptr<bool>(LifetimeToken)](
                               boost::system::error_code ec) {
                             if (lifetime.expired()) {
@@ -232,10 +229,7 @@
 }
 
 bool Session::hasLeft(SocketState state) {
-  if (state == SocketState::SendingEnded && !RelayEndsAt) {
-    RelayEndsAt =
-        routing::relayEnd(bootTimeNow(), Context.Settings.Bounds.StopGrace);
-  }
+  RelaySendingEnded = RelaySendingEnded || state == SocketState::SendingEnded;
   return state == SocketState::Closed;
 }
 
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -344,6 +344,7 @@
     }
     if (endedAt) {
       Context.Callers.endRequests(now - *endedAt < ReadTime);
+      Relays.endRequests();
     }
     co_await sleepFor(Io, StopCheckInterval);
   }
--- a/packages/routing/include/nutmegsill/routing/stop_schedule.h
+++ b/packages/routing/include/nutmegsill/routing/stop_schedule.h
@@ -35,11 +35,6 @@
   Time ProcessEnd;
 };
 
-/// Time at which a request on a relayed connection is ended whose relaying host
-/// said at `now` that no further request follows, since it stops: its own
-/// `requestEnd`, less the time for passing the response on.
-Time relayEnd(Time now, Duration grace);
-
 /// How long the requests of each route take. Not thread-safe.
 class RouteDurations {
 public:
--- a/packages/routing/src/stop_schedule.cpp
+++ b/packages/routing/src/stop_schedule.cpp
@@ -17,10 +17,6 @@
 /// Fraction of the grace period after which the process ends by itself.
 constexpr double ProcessFraction = 0.975;
 
-/// Time from a host's end of admission to the end of its sending side at the
-/// peer, and from the peer's response to the caller.
-constexpr milliseconds RelayedResponseTime{500};
-
 constexpr std::size_t MaxDurations = 16;
 /// Routes come and go with the configuration.
 constexpr std::size_t MaxRoutes = 1'024;
@@ -38,13 +34,6 @@
       RequestEnd(signalledAt + fractionOf(grace, RequestFraction)),
       ProcessEnd(signalledAt + fractionOf(grace, ProcessFraction)) {}
 
-Time relayEnd(Time now, Duration grace) {
-  const StopSchedule schedule(now, grace);
-  return now + std::max<Duration>(Duration{0}, schedule.requestEnd() -
-                                                   schedule.admissionEnd() -
-                                                   RelayedResponseTime);
-}
-
 void RouteDurations::record(const std::string &route, Duration duration) {
   if (Latest.size() >= MaxRoutes && Latest.count(route) == 0) {
     Latest.clear();
