--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -339,8 +339,10 @@
 class TempFolder {
 public:
   TempFolder() {
-    char name[] = "/tmp/nutmegsill-review-XXXXXX";
-    Path = ::mkdtemp(name);
+    Path = (std::filesystem::temp_directory_path() /
+            "nutmegsill-review-XXXXXX")
+               .string();
+    ::mkdtemp(Path.data());
   }
   ~TempFolder() {
     std::error_code ec;
