Decide at which version a stream goes on

Records which process began each stream, for its router and its group, and proves from the watched state of the fleet when only one version can have.

Interface: find() and answer() are no longer const, since both keep when a stream was first asked for; a pool counts as of one version only if the view was current after that. StreamOrigins can be moved, not copied. VersionHistory::soleVersion returns why there is none.

--- a/packages/routing/include/nutmegsill/routing/stream_origins.h
+++ b/packages/routing/include/nutmegsill/routing/stream_origins.h
@@ -79,6 +79,10 @@
   /// Time for which a target that has left the fleet's state may still begin
   /// streams, at routers that do not know of it yet.
   Duration MaxLinger = std::chrono::seconds(30);
+  /// Time for which it is kept that a stream was asked for, and how many at
+  /// most.
+  Duration AskedMemory = std::chrono::seconds(15);
+  std::size_t MaxAsked = 4'096;
   /// Questions to other routers: a credit that fills at this rate.
   double QuestionsPerSecond = 50;
   double MaxQuestions = 50;
@@ -94,8 +98,8 @@
 struct UnknownOrigin {
   /// Other routers may know it.
   bool MayAsk = true;
-  /// For the log: "not_told", "starting", "several_versions", "replaced",
-  /// "ambiguous", "moved".
+  /// For the log: "not_told", "replaced", "ambiguous", "moved", or why the pool
+  /// is not known to have had one version only.
   const char *Reason = "not_told";
   auto operator<=>(const UnknownOrigin &) const = default;
 };
@@ -122,9 +126,17 @@
 /// Not thread-safe.
 class StreamOrigins {
 public:
-  explicit StreamOrigins(StreamOriginPolicy policy = {}) : Policy(policy) {}
+  explicit StreamOrigins(StreamOriginPolicy policy = {},
+                         VersionHistoryPolicy history = {})
+      : Policy(policy), History(history), Questions(policy.MaxQuestions) {}
+  StreamOrigins(const StreamOrigins &) = delete;
+  StreamOrigins &operator=(const StreamOrigins &) = delete;
+  StreamOrigins(StreamOrigins &&) = default;
+  StreamOrigins &operator=(StreamOrigins &&) = default;
+  ~StreamOrigins() = default;
 
   void setView(std::shared_ptr<const FleetView> view, Time now);
+  /// The view set last was current `age` ago; call at least once a second.
   void setViewAge(Duration age, Time now) { History.setViewAge(age, now); }
 
   /// Records a stream before its first event is forwarded. `callerTime` is the
@@ -142,11 +154,11 @@
   /// pool that the route's weights select for it. `key` is empty if the request
   /// does not name the stream.
   OriginDecision find(std::optional<StreamKey> key, const RouteRule &route,
-                      const PoolId &pool, Time now) const;
+                      const PoolId &pool, Time now);
   /// Whether peers may be asked now; uses the credit up.
   bool mayAsk(Time now);
   /// What this router tells one that asks.
-  OriginAnswer answer(const OriginQuestion &question, Time now) const;
+  OriginAnswer answer(const OriginQuestion &question, Time now);
   /// What the answer of another router tells of the stream; `UnknownOrigin` if
   /// it tells nothing. A stream that is told is kept.
   OriginDecision adopt(const OriginAnswer &answer, StreamKey key,
@@ -157,24 +169,48 @@
   void expire(Time now);
 
 private:
+  /// Origins, and how many streams have each.
+  using Origins = std::map<StreamOrigin, std::size_t>;
+  using Ends = std::multimap<Time, StreamKey>;
   struct Stream {
-    StreamOrigin Origin;
-    Time EndsAt{};
+    Origins::iterator Origin;
+    Ends::iterator End;
     /// Two processes of different versions were told to have begun it.
     bool Ambiguous = false;
   };
+  struct KeyHash {
+    std::size_t operator()(StreamKey key) const { return key.Hash; }
+  };
+  using StreamMap = std::unordered_map<StreamKey, Stream, KeyHash>;
+
+  void keep(StreamKey key, const StreamOrigin &origin, Duration life, Time now);
+  void drop(StreamMap::iterator it);
+  /// Nothing if the stream is not known.
+  std::optional<OriginDecision>
+  findRecord(StreamKey key, const RouteRule &route, Time now) const;
+  bool isReplaced(const StreamOrigin &origin) const;
+  /// When the stream was first asked for; it began before.
+  Time firstAskedAt(StreamKey key, Time now);
+  Duration longestStream(const RouteRule &route) const;
+  SoleVersionDecision soleVersion(StreamKey key, const RouteRule &route,
+                                  const PoolId &pool, Time now);
+
   StreamOriginPolicy Policy;
   std::shared_ptr<const FleetView> View;
   VersionHistory History;
-  std::unordered_map<std::uint64_t, Stream> Streams;
-  std::multimap<Time, std::uint64_t> Ends;
+  Origins KnownOrigins;
+  StreamMap Streams;
+  Ends StreamEnds;
   struct Unreported {
     StreamKey Key;
     int ReportsLeft = 0;
   };
   std::deque<Unreported> ToReport;
+  std::unordered_map<StreamKey, Time, KeyHash> AskedAt;
+  /// Oldest first.
+  std::deque<std::pair<Time, StreamKey>> AskedOrder;
   double Questions = 0;
-  std::optional<Time> QuestionsAt;
+  Time QuestionsAt{};
 };
 
 } // namespace nutmegsill::routing
--- a/packages/routing/include/nutmegsill/routing/version_history.h
+++ b/packages/routing/include/nutmegsill/routing/version_history.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <variant>
 
 namespace nutmegsill::routing {
 
@@ -14,12 +15,25 @@
   /// Age of the fleet's state beyond which targets may have come and gone
   /// unseen: proofs that it is current are up to 2.4 s old.
   Duration MaxViewAge = milliseconds(3'000);
-  /// Versions kept for one pool; with more, none counts as the only one.
+  /// Versions kept for one pool.
   std::size_t MaxVersions = 32;
-  /// Time for which a version is kept after it was last seen.
+  /// Time for which a version is kept after it was last seen; nothing is proved
+  /// about longer spans.
   Duration Memory = std::chrono::minutes(5);
 };
 
+/// The only version that targets of a pool have run.
+struct SoleVersion {
+  std::string Version;
+  /// Versions that appeared later may not be known yet.
+  Time AsOf{};
+};
+struct NoSoleVersion {
+  /// For the log: "starting", "several_versions", "not_current", "rerouted".
+  const char *Reason = "starting";
+};
+using SoleVersionDecision = std::variant<SoleVersion, NoSoleVersion>;
+
 /// Not thread-safe.
 class VersionHistory {
 public:
@@ -27,32 +41,49 @@
 
   /// Records the versions in a view, and the pools of its routes.
   void setView(const FleetView &view, Time now);
-  /// Records that the fleet's state was current `age` ago. What was not watched
+  /// Records that the view set last was current `age` ago. What was not watched
   /// without a gap is not known.
   void setViewAge(Duration age, Time now);
   /// The only version that targets of `pool` have run in the last `span`, while
-  /// the route's pools were the same; nothing if there were several, or if too
-  /// little is known.
-  std::optional<std::string> soleVersion(const RouteRule &route,
-                                         const PoolId &pool, Duration span,
-                                         Time now) const;
+  /// it was the route's only pool.
+  SoleVersionDecision soleVersion(const RouteRule &route, const PoolId &pool,
+                                  Duration span, Time now) const;
+  /// Whether targets of `pool` are known to have run another version in the
+  /// last `span`.
+  bool hasOtherVersion(const PoolId &pool, const std::string &version,
+                       Duration span, Time now) const;
 
 private:
-  VersionHistoryPolicy Policy;
-  /// The fleet has been watched without a gap since.
-  std::optional<Time> Since;
-  /// When each version was last seen; still seen if `Present`.
   struct Seen {
     Time LastAt{};
+    /// In the present view.
     bool Present = false;
   };
-  std::map<PoolId, std::map<std::string, Seen>> Versions;
-  /// Pools of each route, and since when.
-  struct RoutePools {
-    std::vector<PoolId> Pools;
+  struct PoolVersions {
+    std::map<std::string, Seen> Versions;
+    /// When a version that did not fit was last seen.
+    std::optional<Time> ForgottenAt = std::nullopt;
+  };
+  /// What a request may be routed by.
+  struct RouteTable {
+    /// Pools by prefix and name of the route.
+    std::map<std::pair<std::string, std::string>, std::set<PoolId>> Routes;
     Time Since{};
   };
-  std::map<std::string, RoutePools> Routes;
+
+  void recordVersions(const FleetView &view, Time now);
+  void recordRoutes(const ServiceConfig &config, Time now);
+  void forget(PoolVersions &pool, Time now) const;
+
+  VersionHistoryPolicy Policy;
+  /// The fleet has been watched without a gap since.
+  std::optional<Time> Since;
+  /// The view was current then.
+  std::optional<Time> AsOf;
+  bool HasView = false;
+  std::map<PoolId, PoolVersions> Pools;
+  /// By host name.
+  std::map<std::string, RouteTable> Routes;
 };
 
 } // namespace nutmegsill::routing
