--- a/packages/routing/include/nutmegsill/routing/stream_origins.h
+++ b/packages/routing/include/nutmegsill/routing/stream_origins.h
@@ -100,7 +100,7 @@
   bool MayAsk = true;
   /// For the log: "not_told", "replaced", "ambiguous", "moved", or why the pool
   /// is not known to have had one version only.
-  const char *Reason = "not_told";
+  std::string_view Reason = "not_told";
   auto operator<=>(const UnknownOrigin &) const = default;
 };
 using OriginDecision = std::variant<KnownOrigin, UnknownOrigin>;
--- a/packages/routing/include/nutmegsill/routing/version_history.h
+++ b/packages/routing/include/nutmegsill/routing/version_history.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace nutmegsill::routing {
@@ -30,7 +31,7 @@
 };
 struct NoSoleVersion {
   /// For the log: "starting", "several_versions", "not_current", "rerouted".
-  const char *Reason = "starting";
+  std::string_view Reason = "starting";
 };
 using SoleVersionDecision = std::variant<SoleVersion, NoSoleVersion>;
 
