--- a/packages/routing/include/nutmegsill/routing/stream_origins.h
+++ b/packages/routing/include/nutmegsill/routing/stream_origins.h
@@ -100,8 +100,10 @@
   bool MayAsk = true;
   /// For the log: "not_told", "replaced", "ambiguous", "moved", or why the pool
   /// is not known to have had one version only.
-  std::string_view Reason = "not_told";
-  auto operator<=>(const UnknownOrigin &) const = default;
+  const char *Reason = "not_told";
+  bool operator==(const UnknownOrigin &other) const {
+    return MayAsk == other.MayAsk && std::string_view(Reason) == other.Reason;
+  }
 };
 using OriginDecision = std::variant<KnownOrigin, UnknownOrigin>;
 
--- a/packages/routing/include/nutmegsill/routing/version_history.h
+++ b/packages/routing/include/nutmegsill/routing/version_history.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <variant>
 
 namespace nutmegsill::routing {
@@ -31,7 +30,7 @@
 };
 struct NoSoleVersion {
   /// For the log: "starting", "several_versions", "not_current", "rerouted".
-  std::string_view Reason = "starting";
+  const char *Reason = "starting";
 };
 using SoleVersionDecision = std::variant<SoleVersion, NoSoleVersion>;
 
--- a/packages/routing/src/stream_origins.cpp
+++ b/packages/routing/src/stream_origins.cpp
@@ -110,6 +110,7 @@
     }
   }
   std::vector<StreamOriginReport> out;
+  out.reserve(byOrigin.size());
   for (auto &[origin, streams] : byOrigin) {
     out.push_back({origin, std::move(streams)});
   }
@@ -165,7 +166,7 @@
                                                const RouteRule &route,
                                                const PoolId &pool, Time now) {
   const Time askedAt = firstAskedAt(key, now);
-  const SoleVersionDecision sole =
+  SoleVersionDecision sole =
       History.soleVersion(route, pool, longestStream(route), now);
   const SoleVersion *it = std::get_if<SoleVersion>(&sole);
   // Another router may have known a newer version at once.
--- a/packages/routing/test/stream_origins_test.cpp
+++ b/packages/routing/test/stream_origins_test.cpp
@@ -41,7 +41,7 @@
   std::string reason(std::int64_t ms, std::optional<StreamKey> key = Key) {
     const OriginDecision decision = find(ms, key);
     const auto *it = std::get_if<UnknownOrigin>(&decision);
-    return std::string(it != nullptr ? it->Reason : "known");
+    return it != nullptr ? it->Reason : "known";
   }
   void record(StreamKey key, const StreamOrigin &origin, std::int64_t ms,
               std::optional<Duration> callerTime = std::nullopt) {
