--- a/packages/routing/include/nutmegsill/routing/stream_origins.h
+++ b/packages/routing/include/nutmegsill/routing/stream_origins.h
@@ -138,7 +138,8 @@
   ~StreamOrigins() = default;
 
   void setView(std::shared_ptr<const FleetView> view, Time now);
-  /// The view set last was current `age` ago; call at least once a second.
+  /// The view set last was current `age` ago; call at least once a second. The
+  /// age of a later view must not be given before that view.
   void setViewAge(Duration age, Time now) { History.setViewAge(age, now); }
 
   /// Records a stream before its first event is forwarded. `callerTime` is the
