Log and count requests that take a stream up, and the version of each target

Callers saw streams with events of two software versions. The log could not tell whether a stream changed versions within a response or as its caller took it up, nor at which version it began. Change: request/dispatched has the target's version, the id that the caller names and its last event; nutmegsill_take_ups_total counts take-ups by outcome. The request while it is served, and how its end is counted, move to files of their own.

--- a/packages/gateway/src/request_log.cpp
+++ b/packages/gateway/src/request_log.cpp
@@ -4,16 +4,19 @@
 
 namespace nutmegsill::gateway {
 
-void logDispatch(const std::string &requestId,
+void logDispatch(const platform::RequestHead &head,
                  const routing::DispatchRequest &request,
                  const routing::Assignment &assignment, std::uint64_t view,
                  ConfigRevision revision) {
   logLine(
       "request", "dispatched",
-      {{"id", requestId},
+      {{"id", head.RequestId},
+       {"takes_up", head.Resumes},
+       {"after_event", head.LastEventId},
        {"team", request.Team.Text},
        {"route", request.Route->Name},
        {"target", assignment.Target.Text},
+       {"version", assignment.Version},
        {"expected_ms",
         std::to_string(toMilliseconds(assignment.ExpectedFirstEvent))},
        {"cached", std::to_string(assignment.CachedTokens)},
--- a/packages/gateway/src/request_log.h
+++ b/packages/gateway/src/request_log.h
@@ -1,6 +1,7 @@
 /// Log lines of requests.
 #pragma once
 
+#include "nutmegsill/platform/headers.h"
 #include "nutmegsill/routing/dispatcher.h"
 
 #include <optional>
@@ -9,7 +10,7 @@
 namespace nutmegsill::gateway {
 
 /// Logs an attempt; `view` and `revision` are those that decided.
-void logDispatch(const std::string &requestId,
+void logDispatch(const platform::RequestHead &head,
                  const routing::DispatchRequest &request,
                  const routing::Assignment &assignment, std::uint64_t view,
                  ConfigRevision revision);
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -6,6 +6,7 @@
 #include "nutmegsill/routing/request_lifecycle.h"
 #include "request_log.h"
 #include "request_reader.h"
+#include "served_request.h"
 #include "target_request.h"
 #include "traffic_server.h"
 
@@ -74,18 +75,7 @@
   void checkTarget(Time now) override;
 
 private:
-  /// The request being served.
-  struct Request {
-    platform::RequestHead Head;
-    http::request<http::string_body> Message;
-    Time ArrivedAt{};
-    /// Set when the request may be sent to a target.
-    std::optional<Admission> Admitted;
-    std::optional<routing::RequestLifecycle> Lifecycle;
-    /// Time from the arrival to the first part of the response.
-    std::optional<Duration> TimeToFirstPart;
-    std::optional<routing::EventStreamBuffer> Events;
-  };
+  using Request = ServedRequest;
 
   /// Reads the rest of a request whose head is known, unless it is rejected
   /// before; returns whether it is to be served.
@@ -108,8 +98,6 @@
                                         const ExchangeOutcome &outcome);
   asio::awaitable<void> sendLocalResponse(Request &request,
                                           const LocalResponse &localResponse);
-  void recordEnd(const Request &request, const std::string &outcome,
-                 unsigned status, const std::string &reason);
 
   void armTimer(Duration delay, CancelCause cause, bool mayExtend = true);
   /// Whether bytes of the target have arrived.
@@ -368,8 +356,7 @@
                                    request.ArrivedAt);
   Context.Hedges.recordRequest(request.Admitted->Pool, request.ArrivedAt);
   const RouteRule &route = *request.Admitted->Route;
-  if (route.Semantics == routing::ExecutionSemantics::Stream &&
-      route.Resumable) {
+  if (route.isResumableStream()) {
     request.Events.emplace();
   }
   co_await dispatch(request);
@@ -480,7 +467,7 @@
   const Duration attemptTimeout = lifecycle.attemptTimeout(assignment, begin);
   ExchangeRequest exchangeRequest = makeExchangeRequest(request, assignment);
   exchangeRequest.TargetEndpoint = *targetEndpoint;
-  logDispatch(request.Head.RequestId, lifecycle.dispatchRequest(), assignment,
+  logDispatch(request.Head, lifecycle.dispatchRequest(), assignment,
               Context.View->Version, request.Admitted->Config->Revision);
   exchangeRequest.OnConnected = [this, &request, &assignment, attemptTimeout] {
     routing::RequestLifecycle &lifecycle = *request.Lifecycle;
@@ -554,7 +541,7 @@
                                                const ExchangeOutcome &outcome) {
   if (outcome.CallerDisconnected) {
     Writer.disableKeepAlive();
-    recordEnd(request, "caller_left", 0, outcome.Reason);
+    recordEnd(Context, request, "caller_left", 0, outcome.Reason);
     co_return;
   }
   if (outcome.Result == ExchangeResult::Completed) {
@@ -562,18 +549,18 @@
                              bootTimeNow() - request.ArrivedAt);
   }
   if (Writer.hasFinished()) {
-    recordEnd(request, "complete", 200, outcome.Reason);
+    recordEnd(Context, request, "complete", 200, outcome.Reason);
     co_return;
   }
   if (Writer.hasStarted()) {
     Writer.disableKeepAlive();
-    recordEnd(request, "broken", 0, outcome.Reason);
+    recordEnd(Context, request, "broken", 0, outcome.Reason);
     co_return;
   }
   if (outcome.Response) {
     const unsigned status = outcome.Response->Status;
     co_await Writer.write(*outcome.Response);
-    recordEnd(request,
+    recordEnd(Context, request,
               outcome.Result == ExchangeResult::Completed ? "complete"
                                                           : "target_error",
               status, outcome.Reason);
@@ -596,36 +583,10 @@
                                                                   : "not_run") +
       "\"}";
   co_await Writer.write(response);
-  recordEnd(request, localResponse.RetryAfter ? "refused" : "failed",
+  recordEnd(Context, request, localResponse.RetryAfter ? "refused" : "failed",
             localResponse.Status, localResponse.Reason);
 }
 
-void Session::recordEnd(const Request &request, const std::string &outcome,
-                        unsigned status, const std::string &reason) {
-  const char *kind =
-      request.Admitted
-          ? routing::executionSemanticsName(request.Admitted->Route->Semantics)
-          : "none";
-  const Duration elapsed = bootTimeNow() - request.ArrivedAt;
-  Context.Counters.observeRequest(kind, outcome, toSeconds(elapsed));
-  if (request.TimeToFirstPart) {
-    Context.Counters.observeFirstPart(kind,
-                                      toSeconds(*request.TimeToFirstPart));
-  }
-  RequestEnd end;
-  end.Id = request.Head.RequestId;
-  end.Team = request.Admitted ? request.Admitted->Team.Text : "";
-  end.Route = request.Admitted ? request.Admitted->Route->Name : "";
-  end.Outcome = outcome;
-  end.Status = status;
-  end.Reason = reason;
-  end.Sends = request.Lifecycle ? request.Lifecycle->sentAttempts() : 0;
-  end.TimeToFirstPart = request.TimeToFirstPart;
-  end.ConfigAge = Context.Shared.configAge(bootTimeNow());
-  end.Elapsed = elapsed;
-  logEnd(end);
-}
-
 } // namespace
 
 asio::awaitable<void> serveCaller(SessionContext &context, tcp::socket caller,
--- a/packages/process/src/metrics.h
+++ b/packages/process/src/metrics.h
@@ -50,6 +50,8 @@
   void countHedge(bool won);
   /// Counts a request that waited for a place at a target, by how that ended.
   void countPlaceWait(const std::string &outcome);
+  /// Counts a request that takes a stream up again, by how it ended.
+  void countTakeUp(const std::string &outcome);
   /// Counts a caller at `port` that was refused or closed for a limit of the
   /// router.
   void countCallerRefusal(const std::string &port, const std::string &reason);
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -56,6 +56,8 @@
   std::string Address;
   /// `TargetEntry::StartedAtMs` of the target's process.
   std::int64_t TargetStartedAtMs = 0;
+  /// `TargetEntry::Version` of the process.
+  std::string Version = {};
   PoolId Pool;
   /// Prompt tokens that the target is expected to prefill.
   std::uint32_t PrefillTokens = 0;
--- a/packages/routing/include/nutmegsill/routing/model.h
+++ b/packages/routing/include/nutmegsill/routing/model.h
@@ -55,9 +55,11 @@
   bool Resumable = false;
   std::vector<PoolWeight> Pools;
 
+  bool isResumableStream() const {
+    return Semantics == ExecutionSemantics::Stream && Resumable;
+  }
   bool allowsRetry() const {
-    return Semantics == ExecutionSemantics::Idempotent ||
-           (Semantics == ExecutionSemantics::Stream && Resumable);
+    return Semantics == ExecutionSemantics::Idempotent || isResumableStream();
   }
 };
 
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -234,6 +234,7 @@
   out.Target = state.Known.Entry.Target;
   out.Address = state.Known.Entry.Address;
   out.TargetStartedAtMs = state.Known.Entry.StartedAtMs;
+  out.Version = state.Known.Entry.Version;
   out.Pool = request.Pool;
   out.StatedRate = Statements.statedRate(processOf(state));
   out.SentAt = now;
