Let streams go on only at the version of the software that began them

Callers saw streams with events of two software versions, within one response and after they took a stream up again, also after all routers had been killed. Cause: the choice of a target did not look at the version that had begun a stream, nothing read the id that a caller names when it takes a stream up, and a router that has started took the versions it saw for all that ever served. Change: DispatchRequest::Version confines every choice; RequestLifecycle sets it before the first event is forwarded, and does not resume a stream whose target states another version by now. Each router records who began a stream, tells it with its load reports, and asks the recipients of these for streams that it does not know. A take-up of unknown origin, or without a target of its version, is rejected at once with 503 and Retry-After, and is not run. What is to be reported waits until there are recipients.

--- a/packages/gateway/src/control_server.cpp
+++ b/packages/gateway/src/control_server.cpp
@@ -267,6 +267,18 @@
   });
 }
 
+void ControlServer::sendOriginMessage(std::vector<HostId> peers,
+                                      OriginMessage message) {
+  asio::post(Io, [this, peers = std::move(peers),
+                  message = std::move(message)]() mutable {
+    sendToPeers(peers,
+                std::visit([](auto &it) { return PeerMessage(std::move(it)); },
+                           message));
+    // As after load reports.
+    Peers->receivePending();
+  });
+}
+
 void ControlServer::receiveMessage(const Instance &from,
                                    std::string_view bytes) {
   std::optional<PeerMessage> message = decodePeerMessage(bytes);
--- a/packages/gateway/src/control_server.h
+++ b/packages/gateway/src/control_server.h
@@ -21,6 +21,8 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <variant>
+#include <vector>
 
 namespace nutmegsill::gateway {
 
@@ -29,6 +31,12 @@
 using LoadReportHandler =
     std::function<void(const HostId &peer, routing::LoadReport report)>;
 
+/// Called on the control thread with each message about who began a stream.
+using OriginMessage =
+    std::variant<routing::OriginQuestion, routing::OriginAnswer>;
+using OriginMessageHandler =
+    std::function<void(const HostId &peer, const OriginMessage &message)>;
+
 class ControlServer {
 public:
   /// Binds the directory, readiness and peer addresses; returns null and sets
@@ -51,6 +59,12 @@
   void setLoadReportHandler(LoadReportHandler handler) {
     OnLoadReport = std::move(handler);
   }
+  /// Call before `run`.
+  void setOriginMessageHandler(OriginMessageHandler handler) {
+    OnOriginMessage = std::move(handler);
+  }
+  /// Sends a question or an answer. Callable from any thread.
+  void sendOriginMessage(std::vector<HostId> peers, OriginMessage message);
   /// Sends load reports to other routers. Callable from any thread.
   void sendLoadReports(routing::OutgoingReports reports);
   /// Sets what the store should hold on roll-outs. Callable from any thread.
@@ -70,6 +84,12 @@
   bool queriesCacheOf(const TargetId &target) const;
   void receiveMessage(const Instance &from, std::string_view bytes);
   void receive(const Instance &from, routing::LoadReport report);
+  void receive(const Instance &from, const routing::OriginQuestion &question) {
+    OnOriginMessage(from.Host, question);
+  }
+  void receive(const Instance &from, const routing::OriginAnswer &answer) {
+    OnOriginMessage(from.Host, answer);
+  }
   /// Messages about the store.
   template <class Message>
   void receive(const Instance &from, const Message &message) {
@@ -100,6 +120,8 @@
   /// `preferredRouters` of the view.
   std::set<HostId> Preferred;
   LoadReportHandler OnLoadReport;
+  OriginMessageHandler OnOriginMessage = [](const HostId &,
+                                            const OriginMessage &) {};
   /// Time of the last report from each router, received directly or included in
   /// the report of a router in its group.
   std::map<HostId, Time> LastReportAt;
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Streams in one message: several times the most that a report holds.
+constexpr int MaxStreams = 4'096;
+
 std::uint32_t ageToWire(Duration age) {
   return static_cast<std::uint32_t>(
       std::max<std::int64_t>(0, toMilliseconds(age)));
@@ -66,6 +69,22 @@
   }
 }
 
+void encode(const routing::StreamOrigin &origin, wire::StreamOrigins &out) {
+  out.set_pool(origin.Pool.Text);
+  out.set_target(origin.Process.Target.Text);
+  out.set_started_at_ms(origin.Process.StartedAtMs);
+  out.set_version(origin.Version);
+}
+
+void encode(const routing::StreamOriginReport &report,
+            wire::StreamOrigins &out) {
+  encode(report.Origin, out);
+  for (const routing::StreamOriginReport::Stream &it : report.Streams) {
+    out.add_streams(it.Key.Hash);
+    out.add_left_ms(ageToWire(it.TimeLeft));
+  }
+}
+
 void encode(const routing::LoadReport &report, wire::PeerMessage &message) {
   wire::LoadReport &out = *message.mutable_load();
   for (const routing::TargetLoad &it : report.Targets) {
@@ -135,6 +154,9 @@
   for (const routing::RolloutReport &it : report.Rollouts) {
     encode(it, *out.add_rollout_counts());
   }
+  for (const routing::StreamOriginReport &it : report.StreamOrigins) {
+    encode(it, *out.add_stream_origins());
+  }
 }
 
 void encode(const routing::RelayedChanges &changes,
@@ -172,6 +194,26 @@
   message.mutable_stamp()->set_stamp_us(stamp.Stamp.time_since_epoch().count());
 }
 
+void encode(const routing::OriginQuestion &question,
+            wire::PeerMessage &message) {
+  wire::OriginQuestion &out = *message.mutable_origin_question();
+  out.set_number(question.Number);
+  out.set_stream(question.Key.Hash);
+  out.set_route(question.Route);
+  out.set_pool(question.Pool.Text);
+}
+
+void encode(const routing::OriginAnswer &answer, wire::PeerMessage &message) {
+  wire::OriginAnswer &out = *message.mutable_origin_answer();
+  out.set_number(answer.Number);
+  if (answer.Origin) {
+    encode(*answer.Origin, *out.mutable_origin());
+  }
+  if (answer.SoleVersion) {
+    out.set_sole_version(*answer.SoleVersion);
+  }
+}
+
 routing::LostRequest decode(const wire::LostRequest &in) {
   return {{TargetId{in.target()}, in.started_at_ms()},
           milliseconds(in.age_ms()),
@@ -246,6 +288,48 @@
   return report;
 }
 
+routing::StreamOrigin decode(const wire::StreamOrigins &in) {
+  return {PoolId{in.pool()},
+          {TargetId{in.target()}, in.started_at_ms()},
+          in.version()};
+}
+
+/// Nothing if the lists of a report differ in length, or hold more streams than
+/// a router reports.
+std::optional<std::vector<routing::StreamOriginReport>>
+decodeOrigins(const wire::LoadReport &in) {
+  std::vector<routing::StreamOriginReport> out;
+  int streams = 0;
+  for (const wire::StreamOrigins &it : in.stream_origins()) {
+    streams += it.streams_size();
+    if (it.streams_size() != it.left_ms_size() || streams > MaxStreams) {
+      return std::nullopt;
+    }
+    routing::StreamOriginReport report{decode(it), {}};
+    for (int i = 0; i < it.streams_size(); ++i) {
+      report.Streams.push_back({{it.streams(i)}, milliseconds(it.left_ms(i))});
+    }
+    out.push_back(std::move(report));
+  }
+  return out;
+}
+
+routing::OriginQuestion decode(const wire::OriginQuestion &in) {
+  return {in.number(), {in.stream()}, in.route(), PoolId{in.pool()}};
+}
+
+routing::OriginAnswer decode(const wire::OriginAnswer &in) {
+  routing::OriginAnswer out;
+  out.Number = in.number();
+  if (in.has_origin()) {
+    out.Origin = decode(in.origin());
+  }
+  if (in.has_sole_version()) {
+    out.SoleVersion = in.sole_version();
+  }
+  return out;
+}
+
 std::optional<PeerMessage> decode(const wire::LoadReport &in) {
   routing::LoadReport report;
   for (const wire::TargetLoad &it : in.targets()) {
@@ -321,6 +405,12 @@
     }
     report.Rollouts.push_back(std::move(*rollout));
   }
+  std::optional<std::vector<routing::StreamOriginReport>> origins =
+      decodeOrigins(in);
+  if (!origins) {
+    return std::nullopt;
+  }
+  report.StreamOrigins = std::move(*origins);
   return report;
 }
 
@@ -364,6 +454,12 @@
       return "store_proof";
     }
     const char *operator()(const ClockStamp &) const { return "clock_stamp"; }
+    const char *operator()(const routing::OriginQuestion &) const {
+      return "origin_question";
+    }
+    const char *operator()(const routing::OriginAnswer &) const {
+      return "origin_answer";
+    }
   };
   return std::visit(Name{}, message);
 }
@@ -388,6 +484,10 @@
     return decode(in.proof());
   case wire::PeerMessage::kStamp:
     return ClockStamp{Time(Duration(in.stamp().stamp_us()))};
+  case wire::PeerMessage::kOriginQuestion:
+    return decode(in.origin_question());
+  case wire::PeerMessage::kOriginAnswer:
+    return decode(in.origin_answer());
   case wire::PeerMessage::CONTENT_NOT_SET:
     return std::nullopt;
   }
--- a/packages/gateway/src/peer_codec.h
+++ b/packages/gateway/src/peer_codec.h
@@ -3,6 +3,7 @@
 
 #include "nutmegsill/routing/load_report.h"
 #include "nutmegsill/routing/store_sharing.h"
+#include "nutmegsill/routing/stream_origins.h"
 
 #include <optional>
 #include <string>
@@ -16,15 +17,17 @@
   Time Stamp{};
 };
 
-using PeerMessage = std::variant<routing::LoadReport, routing::RelayedChanges,
-                                 routing::StoreProof, ClockStamp>;
+using PeerMessage =
+    std::variant<routing::LoadReport, routing::RelayedChanges,
+                 routing::StoreProof, ClockStamp, routing::OriginQuestion,
+                 routing::OriginAnswer>;
 
 /// Name of the message's kind, for metrics.
 const char *peerMessageName(const PeerMessage &message);
 
 std::string encodePeerMessage(const PeerMessage &message);
-/// Returns nothing when `bytes` is not a message or a rate in it is negative or
-/// not finite.
+/// Returns nothing when `bytes` is not a message, a rate in it is negative or
+/// not finite, or lists in it differ in length or are too long.
 std::optional<PeerMessage> decodePeerMessage(std::string_view bytes);
 
 } // namespace nutmegsill::gateway
--- a/packages/gateway/src/served_request.cpp
+++ b/packages/gateway/src/served_request.cpp
@@ -10,6 +10,17 @@
          (!Head.Resumes.empty() || !Head.LastEventId.empty());
 }
 
+BufferedResponse makeLocalResponse(const std::string &id,
+                                   const routing::LocalResponse &response) {
+  const bool mayHaveRun = response.Status == 502 || response.Status == 504;
+  BufferedResponse out;
+  out.Status = response.Status;
+  out.Fields = platform::makeLocalResponseFields(id, response.RetryAfter);
+  out.Body = std::string(R"({"status":)") + std::to_string(response.Status) +
+             R"(,"outcome":")" + (mayHaveRun ? "unknown" : "not_run") + "\"}";
+  return out;
+}
+
 void recordEnd(SessionContext &context, const ServedRequest &request,
                const std::string &outcome, unsigned status,
                const std::string &reason) {
--- a/packages/gateway/src/served_request.h
+++ b/packages/gateway/src/served_request.h
@@ -5,6 +5,7 @@
 #include "nutmegsill/routing/admission.h"
 #include "nutmegsill/routing/event_stream_buffer.h"
 #include "nutmegsill/routing/request_lifecycle.h"
+#include "response_writer.h"
 #include "traffic_server.h"
 
 #include <boost/beast/http/string_body.hpp>
@@ -29,6 +30,10 @@
   bool takesUpStream() const;
 };
 
+/// The response of the router itself to request `id`.
+BufferedResponse makeLocalResponse(const std::string &id,
+                                   const routing::LocalResponse &response);
+
 /// Counts and logs how a request ended.
 void recordEnd(SessionContext &context, const ServedRequest &request,
                const std::string &outcome, unsigned status,
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -7,6 +7,7 @@
 #include "request_log.h"
 #include "request_reader.h"
 #include "served_request.h"
+#include "stream_take_up.h"
 #include "target_request.h"
 #include "traffic_server.h"
 
@@ -86,6 +87,9 @@
   std::variant<Admission, LocalResponse>
   checkHead(const platform::RequestHead &head, Time now);
   std::optional<LocalResponse> admitRequest(Request &request);
+  /// Finds where the stream that the request takes up may go on; returns
+  /// whether the request may be dispatched.
+  asio::awaitable<bool> takeUpStream(Request &request);
   asio::awaitable<void> dispatch(Request &request);
   /// Waits for a place if the request may; returns whether to choose a target
   /// again.
@@ -103,6 +107,10 @@
   /// Whether bytes of the target have arrived.
   bool hasUnreadBytes();
   void watchCaller();
+  bool isServing() const {
+    return CurrentExchange != nullptr || WaitsForPlace ||
+           CurrentTakeUp != nullptr;
+  }
   /// Whether the caller has left, so that its request is to be cancelled.
   bool hasLeft(SocketState state);
   void cancel(CancelCause cause);
@@ -129,6 +137,8 @@
   bool WatchingCaller = false;
   /// Set while the request waits for a place at a target.
   std::optional<routing::PlaceTicket> WaitsForPlace;
+  /// Set while other routers are asked who began a stream.
+  StreamTakeUp *CurrentTakeUp = nullptr;
   /// Reset when the coroutine ends; pending handlers hold a weak pointer and
   /// must not touch the session after that.
   std::shared_ptr<bool> LifetimeToken = std::make_shared<bool>();
@@ -168,13 +178,14 @@
     CurrentExchange->abort();
   } else if (WaitsForPlace) {
     Context.Waiters.wake(*WaitsForPlace);
+  } else if (CurrentTakeUp != nullptr) {
+    CurrentTakeUp->cancel();
   }
 }
 
 void Session::endRequest(bool readsFirst) {
   const bool reads = CurrentExchange != nullptr && readsFirst;
-  const bool serves = CurrentExchange != nullptr || WaitsForPlace;
-  if (serves && !(reads && hasUnreadBytes())) {
+  if (isServing() && !(reads && hasUnreadBytes())) {
     cancel(CancelCause::TimeLimit);
   }
 }
@@ -198,7 +209,7 @@
                               return;
                             }
                             WatchingCaller = false;
-                            if (CurrentExchange == nullptr && !WaitsForPlace) {
+                            if (!isServing()) {
                               return;
                             }
                             if (ec == asio::error::operation_aborted) {
@@ -304,6 +315,7 @@
   incoming.Path = head.Path;
   incoming.ApiKey = head.ApiKey;
   incoming.RequestId = head.RequestId;
+  incoming.Resumes = head.Resumes;
   incoming.Timeout = head.Timeout;
   routing::AdmissionPolicy policy;
   policy.RevocationBound = Context.Settings.Bounds.RevocationBound;
@@ -358,10 +370,38 @@
   const RouteRule &route = *request.Admitted->Route;
   if (route.isResumableStream()) {
     request.Events.emplace();
+    const std::optional<routing::StreamKey> key = streamKeyOf(request);
+    if (key) {
+      request.Lifecycle->keepOrigin(*key, request.Head.Timeout);
+    }
+  }
+  if (request.takesUpStream()) {
+    const bool mayGoOn = co_await takeUpStream(request);
+    if (!mayGoOn) {
+      co_return;
+    }
   }
   co_await dispatch(request);
 }
 
+asio::awaitable<bool> Session::takeUpStream(Request &request) {
+  StreamTakeUp takeUp(Context, request);
+  CurrentTakeUp = &takeUp;
+  watchCaller();
+  const std::optional<LocalResponse> rejected = co_await takeUp.run();
+  CurrentTakeUp = nullptr;
+  if (rejected) {
+    ExchangeOutcome outcome;
+    outcome.CallerDisconnected = CancelledBy == CancelCause::CallerDisconnected;
+    if (outcome.CallerDisconnected) {
+      co_await completeRequest(request, outcome);
+    } else {
+      co_await sendLocalResponse(request, *rejected);
+    }
+  }
+  co_return !rejected.has_value();
+}
+
 asio::awaitable<void> Session::dispatch(Request &request) {
   routing::RequestLifecycle &lifecycle = *request.Lifecycle;
   ExchangeOutcome outcome;
@@ -572,16 +612,8 @@
 asio::awaitable<void>
 Session::sendLocalResponse(Request &request,
                            const LocalResponse &localResponse) {
-  BufferedResponse response;
-  response.Status = localResponse.Status;
-  response.Fields = platform::makeLocalResponseFields(request.Head.RequestId,
-                                                      localResponse.RetryAfter);
-  response.Body =
-      std::string(R"({"status":)") + std::to_string(localResponse.Status) +
-      R"(,"outcome":")" +
-      (localResponse.Status == 502 || localResponse.Status == 504 ? "unknown"
-                                                                  : "not_run") +
-      "\"}";
+  const BufferedResponse response =
+      makeLocalResponse(request.Head.RequestId, localResponse);
   co_await Writer.write(response);
   recordEnd(Context, request, localResponse.RetryAfter ? "refused" : "failed",
             localResponse.Status, localResponse.Reason);
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -155,6 +155,7 @@
       }
     });
   });
+  server->connectInquiries();
   spawn(server->Io, server->reportLoad());
   spawn(server->Io, measureLoopLag(server->Io, "traffic", LagProbeInterval,
                                    metrics, [self](Duration lag, Time now) {
@@ -171,6 +172,28 @@
   }
 }
 
+void TrafficServer::connectInquiries() {
+  Context.Inquiries.setSender([this](const routing::OriginQuestion &question,
+                                     const std::vector<HostId> &peers) {
+    Control.sendOriginMessage(peers, question);
+  });
+  Control.setOriginMessageHandler([this](const HostId &peer,
+                                         const OriginMessage &message) {
+    asio::post(Io, [this, peer, message] {
+      std::visit([this, &peer](const auto &it) { receive(peer, it); }, message);
+    });
+  });
+}
+
+void TrafficServer::receive(const HostId &peer,
+                            const routing::OriginQuestion &question) {
+  const Time now = bootTimeNow();
+  if (Context.refreshView(now)) {
+    Control.sendOriginMessage(
+        {peer}, Context.Dispatcher.streamOrigins().answer(question, now));
+  }
+}
+
 asio::awaitable<void> TrafficServer::reportLoad() {
   asio::steady_timer timer(Io);
   bool lastOwnEmpty = false;
@@ -202,6 +225,8 @@
           now + intervals.ToRemotePeers - intervals.ToGroup / 2;
     }
     Context.Dispatcher.rollouts().setStoreAge(Context.Shared.configAge(now));
+    Context.Dispatcher.streamOrigins().setViewAge(Context.Shared.configAge(now),
+                                                  now);
     routing::OutgoingReports reports =
         Context.Dispatcher.collectReports(now, forRemotePeers);
     for (const routing::FleetChange &it : Context.Dispatcher.takeChanges()) {
--- a/packages/gateway/src/traffic_server.h
+++ b/packages/gateway/src/traffic_server.h
@@ -17,6 +17,7 @@
 #include "nutmegsill/routing/hedging.h"
 #include "nutmegsill/routing/host_overload.h"
 #include "nutmegsill/routing/stop_schedule.h"
+#include "origin_inquiries.h"
 #include "place_waiters.h"
 #include "settings.h"
 #include "shared_state.h"
@@ -50,6 +51,7 @@
   std::size_t RequestsInFlight = 0;
   std::shared_ptr<const routing::FleetView> View;
   PlaceWaiters Waiters = {};
+  OriginInquiries Inquiries = {};
   routing::Hedging Hedges = routing::Hedging(Settings.Hedging);
 
   /// Lets the most urgent request that waits for a place in the pool look for
@@ -83,6 +85,12 @@
   TrafficServer(const GatewaySettings &settings, SharedState &shared,
                 Metrics &metrics, ControlServer &control);
   boost::asio::awaitable<void> reportLoad();
+  /// Exchanges questions and answers about streams with other routers.
+  void connectInquiries();
+  void receive(const HostId &peer, const routing::OriginQuestion &question);
+  void receive(const HostId &peer, const routing::OriginAnswer &answer) {
+    Context.Inquiries.receive(peer, answer);
+  }
   /// Opens the address for hand-over, if it is set; returns why it failed.
   std::optional<std::string> startHandover();
   /// Tells the relays of a change of the configuration.
--- a/packages/gateway/test/peer_codec_test.cpp
+++ b/packages/gateway/test/peer_codec_test.cpp
@@ -1,5 +1,7 @@
 #include "peer_codec.h"
 
+#include "load.pb.h"
+
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
@@ -90,6 +92,56 @@
   CHECK_FALSE(roundTrip(report));
 }
 
+TEST_CASE_METHOD(PeerCodecFixture, "peer_codec_stream_origins_round_trip") {
+  const routing::StreamOrigin origin{
+      PoolId{"desk"}, {TargetId{"d-1"}, 1'791'368'900'847}, "v1"};
+  routing::LoadReport report;
+  report.StreamOrigins = {
+      {origin, {{{7}, milliseconds(1'500)}, {{8}, milliseconds(0)}}}};
+  CHECK_FALSE(report.isEmpty());
+  const std::optional<routing::LoadReport> decoded = roundTrip(report);
+  REQUIRE(decoded);
+  REQUIRE(decoded->StreamOrigins.size() == 1);
+  CHECK(decoded->StreamOrigins[0].Origin == origin);
+  REQUIRE(decoded->StreamOrigins[0].Streams.size() == 2);
+  CHECK(decoded->StreamOrigins[0].Streams[0].Key == routing::StreamKey{7});
+  CHECK(decoded->StreamOrigins[0].Streams[0].TimeLeft == milliseconds(1'500));
+  report.StreamOrigins[0].Streams.resize(5'000);
+  CHECK_FALSE(roundTrip(report));
+}
+
+TEST_CASE_METHOD(PeerCodecFixture,
+                 "peer_codec_stream_without_its_time_is_malformed") {
+  wire::PeerMessage message;
+  message.mutable_load()->add_stream_origins()->add_streams(7);
+  CHECK_FALSE(decodePeerMessage(message.SerializeAsString()));
+  message.mutable_load()->mutable_stream_origins(0)->add_left_ms(5);
+  CHECK(decodePeerMessage(message.SerializeAsString()));
+}
+
+TEST_CASE_METHOD(PeerCodecFixture,
+                 "peer_codec_question_and_answers_round_trip") {
+  const std::optional<routing::OriginQuestion> question =
+      roundTrip(routing::OriginQuestion{5, {7}, "safe", PoolId{"desk"}});
+  REQUIRE(question);
+  CHECK(question->Number == 5);
+  CHECK(question->Key == routing::StreamKey{7});
+  CHECK(question->Route == "safe");
+  CHECK(question->Pool == PoolId{"desk"});
+  routing::OriginAnswer answer;
+  answer.Number = 5;
+  std::optional<routing::OriginAnswer> decoded = roundTrip(answer);
+  REQUIRE(decoded);
+  CHECK((!decoded->Origin && !decoded->SoleVersion));
+  answer.Origin = {PoolId{"desk"}, {TargetId{"d-1"}, 1}, ""};
+  answer.SoleVersion = "";
+  decoded = roundTrip(answer);
+  REQUIRE(decoded);
+  CHECK(decoded->Number == 5);
+  CHECK(decoded->Origin == answer.Origin);
+  CHECK(decoded->SoleVersion == answer.SoleVersion);
+}
+
 TEST_CASE_METHOD(PeerCodecFixture, "peer_codec_quarantine_round_trips") {
   routing::LoadReport report;
   using routing::CrashCause;
--- a/packages/routing/include/nutmegsill/routing/admission.h
+++ b/packages/routing/include/nutmegsill/routing/admission.h
@@ -27,6 +27,9 @@
   std::string_view Path;
   std::string_view ApiKey;
   std::string_view RequestId;
+  /// Id of the request that began the stream that this one takes up; empty if
+  /// it names none.
+  std::string_view Resumes;
   /// Time for which the caller waits for the response; unset if the request
   /// does not state it.
   std::optional<Duration> Timeout;
--- a/packages/routing/include/nutmegsill/routing/dispatcher.h
+++ b/packages/routing/include/nutmegsill/routing/dispatcher.h
@@ -17,6 +17,7 @@
 #include "nutmegsill/routing/retry_budget.h"
 #include "nutmegsill/routing/rollout.h"
 #include "nutmegsill/routing/service_load.h"
+#include "nutmegsill/routing/stream_origins.h"
 #include "nutmegsill/routing/target_statements.h"
 #include "nutmegsill/routing/team_share.h"
 #include "nutmegsill/routing/zone_homes.h"
@@ -48,6 +49,9 @@
   std::optional<PlaceTicket> Ticket;
   /// The attempt starts beside another one of the same request.
   bool IsHedge = false;
+  /// Set if part of the response comes from this version of the software, so
+  /// that the rest must, too.
+  std::optional<std::string> Version = {};
 };
 
 /// The target chosen for one attempt of a request.
@@ -87,6 +91,8 @@
 /// Why no target was chosen for a request.
 enum class RejectionReason {
   NoTarget,
+  /// No target runs the version that began the stream.
+  NoTargetOfVersion,
   Overloaded,
   TeamOverShare,
   RetryBudget,
@@ -193,6 +199,16 @@
   bool mayRepeat(const DispatchRequest &request, Time now) const {
     return Quarantine.mayRepeat(suspectOf(request), now);
   }
+  /// Records that the assignment's target begins a stream or goes on with it.
+  /// The arguments are those of `StreamOrigins::record`.
+  void recordStreamOrigin(StreamKey key, const Assignment &assignment,
+                          std::optional<Duration> callerTime,
+                          Duration routeTimeout, Time now);
+  /// Whether the assignment's target states another version by now, so that
+  /// either may have responded.
+  bool isReplaced(const Assignment &assignment) const;
+  /// The processes that began streams, also those of other routers.
+  StreamOrigins &streamOrigins() { return Origins; }
   /// Returns and clears the changes of the quarantine, of what targets state
   /// and of roll-outs.
   std::vector<FleetChange> takeChanges();
@@ -407,6 +423,7 @@
   ServiceLoad Services;
   PlaceQueue Places;
   Rollouts Versions;
+  StreamOrigins Origins;
   /// The choice of the request at hand; none if versions are not distinguished.
   std::optional<VersionChoice> AllowedVersions;
   bool IsPreferred = true;
--- a/packages/routing/include/nutmegsill/routing/load_report.h
+++ b/packages/routing/include/nutmegsill/routing/load_report.h
@@ -6,6 +6,7 @@
 #include "nutmegsill/routing/handover.h"
 #include "nutmegsill/routing/rollout.h"
 #include "nutmegsill/routing/service_load.h"
+#include "nutmegsill/routing/stream_origins.h"
 #include "nutmegsill/routing/target_statements.h"
 #include "nutmegsill/routing/team_share.h"
 #include "nutmegsill/types.h"
@@ -69,13 +70,15 @@
   /// What was observed of the engines of each pool.
   std::vector<PoolService> PoolServices;
   std::vector<RolloutReport> Rollouts = {};
+  /// Begun by the reporting router.
+  std::vector<StreamOriginReport> StreamOrigins = {};
 
   /// Whether there is nothing to tell of targets, teams, crashes, limits,
-  /// engines and roll-outs.
+  /// engines, roll-outs and streams.
   bool isEmpty() const {
     return Targets.empty() && Teams.empty() && Quarantine.isEmpty() &&
            Statements.empty() && TargetStates.empty() && PoolServices.empty() &&
-           Rollouts.empty();
+           Rollouts.empty() && StreamOrigins.empty();
   }
 };
 
--- a/packages/routing/include/nutmegsill/routing/request_lifecycle.h
+++ b/packages/routing/include/nutmegsill/routing/request_lifecycle.h
@@ -30,6 +30,11 @@
   RequestLifecycle(const Admission &admission, PromptDescription prompt,
                    RequestIdentity identity, Time arrivedAt);
 
+  /// Keeps who began the request's stream, so that its caller may take it up
+  /// again. `callerTime` is how long the caller waits, if it states that.
+  void keepOrigin(StreamKey key, std::optional<Duration> callerTime);
+  /// Confines all attempts to where the stream that the request takes up began.
+  void continueAt(const KnownOrigin &origin);
   /// Chooses the target of the next attempt, or returns why there is none. A
   /// reserved one is taken.
   DispatchDecision chooseTarget(Dispatcher &dispatcher, Time now);
@@ -48,7 +53,8 @@
                                         const Assignment &present, Time now);
   /// Gives up a reserved target.
   void releaseReserved(Dispatcher &dispatcher, Time now);
-  /// Records that part of the response has arrived.
+  /// Records that part of the response has arrived; call before it is
+  /// forwarded.
   void recordProgress(Dispatcher &dispatcher, Assignment &assignment, Time now);
   /// Records the outcome of an attempt; returns whether another may follow.
   bool finishAttempt(Dispatcher &dispatcher, Assignment &assignment,
@@ -70,6 +76,12 @@
 private:
   bool mayRetry(const Dispatcher &dispatcher, const AttemptOutcome &outcome,
                 Time now) const;
+  /// Records who sends the first event of an attempt, and confines all later
+  /// attempts to its version.
+  void recordFirstEvent(Dispatcher &dispatcher, const Assignment &assignment,
+                        Time now);
+  /// Whether it is certain which version sent the events so far.
+  bool isVersionKnown(const Dispatcher &dispatcher) const;
   void recordLossOrSurvival(Dispatcher &dispatcher,
                             const Assignment &assignment, ExchangeResult result,
                             Time now);
@@ -89,6 +101,10 @@
   AttemptOutcome LastOutcome;
   std::optional<Rejection> LastRejection;
   std::optional<Assignment> Reserved;
+  std::optional<StreamKey> Key;
+  std::optional<Duration> CallerTime;
+  /// Attempts that have sent events of a stream.
+  std::vector<Assignment> Senders;
   /// Retry-After if all attempted targets refused the request.
   Duration RefusedRetryAfter{0};
 };
--- a/packages/routing/src/admission.cpp
+++ b/packages/routing/src/admission.cpp
@@ -60,7 +60,11 @@
     }
     out.Team = team->Team;
   }
-  out.Pool = selectPool(*out.Route, request.RequestId);
+  // A stream that is taken up goes on in the pool that it began in.
+  const bool namesStream =
+      out.Route->isResumableStream() && !request.Resumes.empty();
+  out.Pool =
+      selectPool(*out.Route, namesStream ? request.Resumes : request.RequestId);
   return out;
 }
 
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -1,7 +1,6 @@
 #include "nutmegsill/routing/dispatcher.h"
 
 #include "nutmegsill/rendezvous.h"
-#include "nutmegsill/routing/entry_routers.h"
 
 #include <algorithm>
 #include <cmath>
@@ -29,6 +28,8 @@
   switch (reason) {
   case RejectionReason::NoTarget:
     return "no_target";
+  case RejectionReason::NoTargetOfVersion:
+    return "no_target_of_version";
   case RejectionReason::Overloaded:
     return "overloaded";
   case RejectionReason::TeamOverShare:
@@ -80,6 +81,7 @@
   Statements.setFleet(processes, View->Routers.size(), now);
   Services.setFleet(processes);
   Versions.setView(*View, now);
+  Origins.setView(View, now);
   updatePools();
   updateEngines();
   updateColdSenders();
@@ -139,25 +141,6 @@
   return out;
 }
 
-void Dispatcher::updateColdSenders() {
-  // Other routers rarely have requests for the permits that they hold.
-  const std::set<HostId> senders = preferredRouters(View->Routers);
-  IsPreferred = senders.empty() || senders.count(Self) != 0;
-  for (auto &[id, state] : Targets) {
-    if (state.Known.ColdUntil == Time{}) {
-      continue;
-    }
-    const std::uint64_t own = rendezvousWeight(Self, id.Text);
-    std::uint32_t ahead = 0;
-    for (const HostId &it : senders) {
-      if (it != Self && rendezvousWeight(it, id.Text) > own) {
-        ++ahead;
-      }
-    }
-    state.MaySendWhileCold = IsPreferred && ahead < Policy.ColdSenderCount;
-  }
-}
-
 void Dispatcher::receiveReport(const HostId &peer, LoadReport report,
                                Time now) {
   const bool own = peer == Self;
@@ -176,6 +159,7 @@
     Services.receive(report.TargetStates, relayed, now);
     Statements.receive(peer, std::move(report.Statements), now);
     Versions.receive(peer, std::move(report.Rollouts), now);
+    Origins.receive(report.StreamOrigins, now);
   }
   if (peer != Self) {
     Peers.receiveReport(peer, std::move(report), now);
@@ -196,8 +180,10 @@
     const std::optional<Duration> own = Statements.pauseOf(processOf(*it), now);
     pause = own ? std::min(*own, pause.value_or(*own)) : pause;
   }
-  return Rejection{pause ? RejectionReason::TargetsPaused
-                         : RejectionReason::NoTarget,
+  const RejectionReason reason = request.Version
+                                     ? RejectionReason::NoTargetOfVersion
+                                     : RejectionReason::NoTarget;
+  return Rejection{pause ? RejectionReason::TargetsPaused : reason,
                    std::max(retryAfter, pause.value_or(Duration{0})),
                    {},
                    {}};
@@ -345,6 +331,7 @@
   Quarantine.update(now);
   Capacity.recordActive(now);
   updateVersions(now);
+  Origins.expire(now);
   OutgoingReports out;
   out.Recipients = Recipients;
   for (const auto &[id, state] : Targets) {
@@ -378,6 +365,9 @@
   out.OwnReport.PromptsSent = UnreportedOwnPrompts.take();
   out.OwnReport.Quarantine = Quarantine.takeOwnReport(now);
   out.OwnReport.TargetStates = Services.takeOwnReport(now);
+  if (!Recipients.GroupPeers.empty()) {
+    out.OwnReport.StreamOrigins = Origins.takeReport(now);
+  }
   return out;
 }
 
--- a/packages/routing/src/request_lifecycle.cpp
+++ b/packages/routing/src/request_lifecycle.cpp
@@ -35,12 +35,26 @@
   Request.Identity = identity;
 }
 
+void RequestLifecycle::keepOrigin(StreamKey key,
+                                  std::optional<Duration> callerTime) {
+  Key = key;
+  CallerTime = callerTime;
+}
+
+void RequestLifecycle::continueAt(const KnownOrigin &origin) {
+  Request.Pool = origin.Pool;
+  Request.Version = origin.Version;
+}
+
 DispatchDecision RequestLifecycle::chooseTarget(Dispatcher &dispatcher,
                                                 Time now) {
   Request.ElapsedTime = now - ArrivedAt;
   Request.RemainingTime = remainingTime(now);
   FirstEventAt.reset();
   Survived = false;
+  if (Reserved && Request.Version && Reserved->Version != *Request.Version) {
+    releaseReserved(dispatcher, now);
+  }
   if (Reserved) {
     return *std::exchange(Reserved, std::nullopt);
   }
@@ -123,6 +137,9 @@
 void RequestLifecycle::recordProgress(Dispatcher &dispatcher,
                                       Assignment &assignment, Time now) {
   dispatcher.recordProgress(assignment, now);
+  if (!FirstEventAt && Request.Route->isResumableStream()) {
+    recordFirstEvent(dispatcher, assignment, now);
+  }
   FirstEventAt = FirstEventAt.value_or(now);
   if (!Survived && now - *FirstEventAt >= SurvivalTime) {
     Survived = true;
@@ -130,6 +147,24 @@
   }
 }
 
+void RequestLifecycle::recordFirstEvent(Dispatcher &dispatcher,
+                                        const Assignment &assignment,
+                                        Time now) {
+  Request.Version = assignment.Version;
+  Senders.push_back(assignment);
+  if (Key) {
+    dispatcher.recordStreamOrigin(*Key, assignment, CallerTime,
+                                  Request.Route->Timeout, now);
+  }
+}
+
+bool RequestLifecycle::isVersionKnown(const Dispatcher &dispatcher) const {
+  return std::none_of(Senders.begin(), Senders.end(),
+                      [&dispatcher](const Assignment &it) {
+                        return dispatcher.isReplaced(it);
+                      });
+}
+
 void RequestLifecycle::recordLossOrSurvival(Dispatcher &dispatcher,
                                             const Assignment &assignment,
                                             ExchangeResult result, Time now) {
@@ -187,7 +222,8 @@
   if (!dispatcher.mayRepeat(Request, now)) {
     return false;
   }
-  return !outcome.ResponseStarted || outcome.MayResume;
+  return !outcome.ResponseStarted ||
+         (outcome.MayResume && isVersionKnown(dispatcher));
 }
 
 LocalResponse RequestLifecycle::localResponse() const {
--- a/packages/routing/src/service_choice.cpp
+++ b/packages/routing/src/service_choice.cpp
@@ -205,8 +205,10 @@
                                      MinPlaceRetryAfter, MaxPlaceRetryAfter),
                 expected,
                 {}};
+  // The caller of a stream can take it up elsewhere meanwhile.
   const bool keepsPlace =
-      !request.Ticket || Places.isWaiting(request.Pool, *request.Ticket);
+      !request.Version &&
+      (!request.Ticket || Places.isWaiting(request.Pool, *request.Ticket));
   if (keepsPlace) {
     out.MayWait = std::max(
         Duration{0},
--- a/packages/routing/src/target_candidates.cpp
+++ b/packages/routing/src/target_candidates.cpp
@@ -1,4 +1,6 @@
+#include "nutmegsill/rendezvous.h"
 #include "nutmegsill/routing/dispatcher.h"
+#include "nutmegsill/routing/entry_routers.h"
 
 #include <algorithm>
 
@@ -16,6 +18,25 @@
 
 } // namespace
 
+void Dispatcher::updateColdSenders() {
+  // Other routers rarely have requests for the permits that they hold.
+  const std::set<HostId> senders = preferredRouters(View->Routers);
+  IsPreferred = senders.empty() || senders.count(Self) != 0;
+  for (auto &[id, state] : Targets) {
+    if (state.Known.ColdUntil == Time{}) {
+      continue;
+    }
+    const std::uint64_t own = rendezvousWeight(Self, id.Text);
+    std::uint32_t ahead = 0;
+    for (const HostId &it : senders) {
+      if (it != Self && rendezvousWeight(it, id.Text) > own) {
+        ++ahead;
+      }
+    }
+    state.MaySendWhileCold = IsPreferred && ahead < Policy.ColdSenderCount;
+  }
+}
+
 bool Dispatcher::isEligible(TargetState &state, const DispatchRequest &request,
                             Time now) {
   const TargetEntry &entry = state.Known.Entry;
@@ -48,8 +69,10 @@
   std::vector<TargetState *> available;
   std::vector<TargetState *> fallback;
   for (TargetState *it : poolState(request.Pool, now).Targets) {
+    const TargetEntry &entry = it->Known.Entry;
     const bool admitted =
-        !AllowedVersions || Versions.admits(*AllowedVersions, it->Known.Entry);
+        (!request.Version || entry.Version == *request.Version) &&
+        (!AllowedVersions || Versions.admits(*AllowedVersions, entry));
     if (!admitted || !isEligible(*it, request, now)) {
       continue;
     }
