--- a/packages/routing/include/nutmegsill/routing/stream_origins.h
+++ b/packages/routing/include/nutmegsill/routing/stream_origins.h
@@ -101,7 +101,9 @@
   /// For the log: "not_told", "replaced", "ambiguous", "moved", or why the pool
   /// is not known to have had one version only.
   const char *Reason = "not_told";
-  auto operator<=>(const UnknownOrigin &) const = default;
+  bool operator==(const UnknownOrigin &other) const {
+    return MayAsk == other.MayAsk && std::string_view(Reason) == other.Reason;
+  }
 };
 using OriginDecision = std::variant<KnownOrigin, UnknownOrigin>;
 
