--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -6,6 +6,8 @@
 #include "nutmegsill/routing/request_lifecycle.h"
 #include "request_log.h"
 #include "request_reader.h"
+#include "served_request.h"
+#include "stream_take_up.h"
 #include "target_request.h"
 #include "traffic_server.h"
 
@@ -74,18 +76,7 @@
   void checkTarget(Time now) override;
 
 private:
-  /// The request being served.
-  struct Request {
-    platform::RequestHead Head;
-    http::request<http::string_body> Message;
-    Time ArrivedAt{};
-    /// Set when the request may be sent to a target.
-    std::optional<Admission> Admitted;
-    std::optional<routing::RequestLifecycle> Lifecycle;
-    /// Time from the arrival to the first part of the response.
-    std::optional<Duration> TimeToFirstPart;
-    std::optional<routing::EventStreamBuffer> Events;
-  };
+  using Request = ServedRequest;
 
   /// Reads the rest of a request whose head is known, unless it is rejected
   /// before; returns whether it is to be served.
@@ -96,6 +87,9 @@
   std::variant<Admission, LocalResponse>
   checkHead(const platform::RequestHead &head, Time now);
   std::optional<LocalResponse> admitRequest(Request &request);
+  /// Finds where the stream that the request takes up may go on; returns
+  /// whether the request may be dispatched.
+  asio::awaitable<bool> takeUpStream(Request &request);
   asio::awaitable<void> dispatch(Request &request);
   /// Waits for a place if the request may; returns whether to choose a target
   /// again.
@@ -108,13 +102,15 @@
                                         const ExchangeOutcome &outcome);
   asio::awaitable<void> sendLocalResponse(Request &request,
                                           const LocalResponse &localResponse);
-  void recordEnd(const Request &request, const std::string &outcome,
-                 unsigned status, const std::string &reason);
 
   void armTimer(Duration delay, CancelCause cause, bool mayExtend = true);
   /// Whether bytes of the target have arrived.
   bool hasUnreadBytes();
   void watchCaller();
+  bool isServing() const {
+    return CurrentExchange != nullptr || WaitsForPlace ||
+           CurrentTakeUp != nullptr;
+  }
   /// Whether the caller has left, so that its request is to be cancelled.
   bool hasLeft(SocketState state);
   void cancel(CancelCause cause);
@@ -141,6 +137,8 @@
   bool WatchingCaller = false;
   /// Set while the request waits for a place at a target.
   std::optional<routing::PlaceTicket> WaitsForPlace;
+  /// Set while other routers are asked who began a stream.
+  StreamTakeUp *CurrentTakeUp = nullptr;
   /// Reset when the coroutine ends; pending handlers hold a weak pointer and
   /// must not touch the session after that.
   std::shared_ptr<bool> LifetimeToken = std::make_shared<bool>();
@@ -180,13 +178,14 @@
     CurrentExchange->abort();
   } else if (WaitsForPlace) {
     Context.Waiters.wake(*WaitsForPlace);
+  } else if (CurrentTakeUp != nullptr) {
+    CurrentTakeUp->cancel();
   }
 }
 
 void Session::endRequest(bool readsFirst) {
   const bool reads = CurrentExchange != nullptr && readsFirst;
-  const bool serves = CurrentExchange != nullptr || WaitsForPlace;
-  if (serves && !(reads && hasUnreadBytes())) {
+  if (isServing() && !(reads && hasUnreadBytes())) {
     cancel(CancelCause::TimeLimit);
   }
 }
@@ -210,7 +209,7 @@
                               return;
                             }
                             WatchingCaller = false;
-                            if (CurrentExchange == nullptr && !WaitsForPlace) {
+                            if (!isServing()) {
                               return;
                             }
                             if (ec == asio::error::operation_aborted) {
@@ -316,6 +315,7 @@
   incoming.Path = head.Path;
   incoming.ApiKey = head.ApiKey;
   incoming.RequestId = head.RequestId;
+  incoming.Resumes = head.Resumes;
   incoming.Timeout = head.Timeout;
   routing::AdmissionPolicy policy;
   policy.RevocationBound = Context.Settings.Bounds.RevocationBound;
@@ -368,13 +368,40 @@
                                    request.ArrivedAt);
   Context.Hedges.recordRequest(request.Admitted->Pool, request.ArrivedAt);
   const RouteRule &route = *request.Admitted->Route;
-  if (route.Semantics == routing::ExecutionSemantics::Stream &&
-      route.Resumable) {
+  if (route.isResumableStream()) {
     request.Events.emplace();
+    const std::optional<routing::StreamKey> key = streamKeyOf(request);
+    if (key) {
+      request.Lifecycle->keepOrigin(*key, request.Head.Timeout);
+    }
+  }
+  if (request.takesUpStream()) {
+    const bool mayGoOn = co_await takeUpStream(request);
+    if (!mayGoOn) {
+      co_return;
+    }
   }
   co_await dispatch(request);
 }
 
+asio::awaitable<bool> Session::takeUpStream(Request &request) {
+  StreamTakeUp takeUp(Context, request);
+  CurrentTakeUp = &takeUp;
+  watchCaller();
+  const std::optional<LocalResponse> rejected = co_await takeUp.run();
+  CurrentTakeUp = nullptr;
+  if (rejected) {
+    ExchangeOutcome outcome;
+    outcome.CallerDisconnected = CancelledBy == CancelCause::CallerDisconnected;
+    if (outcome.CallerDisconnected) {
+      co_await completeRequest(request, outcome);
+    } else {
+      co_await sendLocalResponse(request, *rejected);
+    }
+  }
+  co_return !rejected.has_value();
+}
+
 asio::awaitable<void> Session::dispatch(Request &request) {
   routing::RequestLifecycle &lifecycle = *request.Lifecycle;
   ExchangeOutcome outcome;
@@ -480,7 +507,7 @@
   const Duration attemptTimeout = lifecycle.attemptTimeout(assignment, begin);
   ExchangeRequest exchangeRequest = makeExchangeRequest(request, assignment);
   exchangeRequest.TargetEndpoint = *targetEndpoint;
-  logDispatch(request.Head.RequestId, lifecycle.dispatchRequest(), assignment,
+  logDispatch(request.Head, lifecycle.dispatchRequest(), assignment,
               Context.View->Version, request.Admitted->Config->Revision);
   exchangeRequest.OnConnected = [this, &request, &assignment, attemptTimeout] {
     routing::RequestLifecycle &lifecycle = *request.Lifecycle;
@@ -554,7 +581,7 @@
                                                const ExchangeOutcome &outcome) {
   if (outcome.CallerDisconnected) {
     Writer.disableKeepAlive();
-    recordEnd(request, "caller_left", 0, outcome.Reason);
+    recordEnd(Context, request, "caller_left", 0, outcome.Reason);
     co_return;
   }
   if (outcome.Result == ExchangeResult::Completed) {
@@ -562,18 +589,18 @@
                              bootTimeNow() - request.ArrivedAt);
   }
   if (Writer.hasFinished()) {
-    recordEnd(request, "complete", 200, outcome.Reason);
+    recordEnd(Context, request, "complete", 200, outcome.Reason);
     co_return;
   }
   if (Writer.hasStarted()) {
     Writer.disableKeepAlive();
-    recordEnd(request, "broken", 0, outcome.Reason);
+    recordEnd(Context, request, "broken", 0, outcome.Reason);
     co_return;
   }
   if (outcome.Response) {
     const unsigned status = outcome.Response->Status;
     co_await Writer.write(*outcome.Response);
-    recordEnd(request,
+    recordEnd(Context, request,
               outcome.Result == ExchangeResult::Completed ? "complete"
                                                           : "target_error",
               status, outcome.Reason);
@@ -585,47 +612,13 @@
 asio::awaitable<void>
 Session::sendLocalResponse(Request &request,
                            const LocalResponse &localResponse) {
-  BufferedResponse response;
-  response.Status = localResponse.Status;
-  response.Fields = platform::makeLocalResponseFields(request.Head.RequestId,
-                                                      localResponse.RetryAfter);
-  response.Body =
-      std::string(R"({"status":)") + std::to_string(localResponse.Status) +
-      R"(,"outcome":")" +
-      (localResponse.Status == 502 || localResponse.Status == 504 ? "unknown"
-                                                                  : "not_run") +
-      "\"}";
+  const BufferedResponse response =
+      makeLocalResponse(request.Head.RequestId, localResponse);
   co_await Writer.write(response);
-  recordEnd(request, localResponse.RetryAfter ? "refused" : "failed",
+  recordEnd(Context, request, localResponse.RetryAfter ? "refused" : "failed",
             localResponse.Status, localResponse.Reason);
 }
 
-void Session::recordEnd(const Request &request, const std::string &outcome,
-                        unsigned status, const std::string &reason) {
-  const char *kind =
-      request.Admitted
-          ? routing::executionSemanticsName(request.Admitted->Route->Semantics)
-          : "none";
-  const Duration elapsed = bootTimeNow() - request.ArrivedAt;
-  Context.Counters.observeRequest(kind, outcome, toSeconds(elapsed));
-  if (request.TimeToFirstPart) {
-    Context.Counters.observeFirstPart(kind,
-                                      toSeconds(*request.TimeToFirstPart));
-  }
-  RequestEnd end;
-  end.Id = request.Head.RequestId;
-  end.Team = request.Admitted ? request.Admitted->Team.Text : "";
-  end.Route = request.Admitted ? request.Admitted->Route->Name : "";
-  end.Outcome = outcome;
-  end.Status = status;
-  end.Reason = reason;
-  end.Sends = request.Lifecycle ? request.Lifecycle->sentAttempts() : 0;
-  end.TimeToFirstPart = request.TimeToFirstPart;
-  end.ConfigAge = Context.Shared.configAge(bootTimeNow());
-  end.Elapsed = elapsed;
-  logEnd(end);
-}
-
 } // namespace
 
 asio::awaitable<void> serveCaller(SessionContext &context, tcp::socket caller,
