--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -206,6 +206,8 @@
     co_await timer.async_wait(asio::use_awaitable);
     const Time now = bootTimeNow();
     Context.TargetConnections.closeExpired(now);
+    // Read first: an age that is published later may speak of a later view.
+    const Duration viewAge = Context.Shared.configAge(now);
     if (!Context.refreshView(now)) {
       continue;
     }
@@ -214,8 +216,7 @@
     }
     Context.Counters.setOpenRequests(Context.RequestsInFlight);
     Context.Counters.setCallerMemory(Context.CallerMemory.heldBytes());
-    Context.Counters.setStateAge("configuration",
-                                 toSeconds(Context.Shared.configAge(now)));
+    Context.Counters.setStateAge("configuration", toSeconds(viewAge));
     Context.Counters.setStateAge(
         "load_reports", toSeconds(Context.Dispatcher.oldestReportAge(now)));
     const bool forRemotePeers = now >= nextRemoteReportAt;
@@ -224,9 +225,8 @@
       nextRemoteReportAt =
           now + intervals.ToRemotePeers - intervals.ToGroup / 2;
     }
-    Context.Dispatcher.rollouts().setStoreAge(Context.Shared.configAge(now));
-    Context.Dispatcher.streamOrigins().setViewAge(Context.Shared.configAge(now),
-                                                  now);
+    Context.Dispatcher.rollouts().setStoreAge(viewAge);
+    Context.Dispatcher.streamOrigins().setViewAge(viewAge, now);
     routing::OutgoingReports reports =
         Context.Dispatcher.collectReports(now, forRemotePeers);
     for (const routing::FleetChange &it : Context.Dispatcher.takeChanges()) {
--- a/packages/routing/include/nutmegsill/routing/stream_origins.h
+++ b/packages/routing/include/nutmegsill/routing/stream_origins.h
@@ -73,9 +73,9 @@
   /// Reports that carry a stream, as a message may be lost.
   int ReportsPerStream = 2;
   /// Time from the first event of a stream of unknown origin to its last
-  /// take-up, as a multiple of the route's timeout: the first attempt and one
+  /// take-up, as a multiple of the route's timeout: the first attempt and three
   /// more.
-  int TimeoutsPerStream = 2;
+  int TimeoutsPerStream = 4;
   /// Time for which a target that has left the fleet's state may still begin
   /// streams, at routers that do not know of it yet.
   Duration MaxLinger = std::chrono::seconds(30);
