Gateway: reading of a response in a class of its own

TargetResponse takes readHead, readBody, the buffered body and their limits out of the exchange, which ends with it 134 lines shorter. Streams read their parts with TargetResponse::readPart. No change of behaviour.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -2,40 +2,23 @@
 
 #include "clock.h"
 #include "nutmegsill/routing/acknowledgement_policy.h"
-#include "nutmegsill/transfer_coding.h"
-#include "nutmegsill/whole_head.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
 
-#include <algorithm>
 #include <array>
 
 namespace nutmegsill::gateway {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using routing::ExchangeResult;
 
 namespace {
 
-constexpr std::size_t PartBufferBytes = 4U << 10U;
-constexpr std::uint32_t MaxTargetHeaderBytes = 32U << 10U;
-/// The HTTP library throws at fields of 64 KB, also in trailers.
-constexpr std::size_t MaxTargetBufferBytes = 62U << 10U;
-/// Largest response body that is buffered until it is complete.
-constexpr std::size_t MaxBufferedBodyBytes = 8U << 20U;
-/// Largest body of a response to an earlier request that is skipped.
-constexpr std::size_t MaxSkippedBodyBytes = 64U << 10U;
-/// Heads that may precede that of the response: interim responses, and
-/// duplicates of earlier ones.
-constexpr int MaxSkippedHeads = 8;
 /// Longest event of a stream; longer ones are taken for bytes of a faulty
 /// target.
 constexpr std::size_t MaxEventBytes = 64U << 10U;
@@ -46,7 +29,6 @@
 /// Timeout for connecting to a target whose connection was lost; the system of
 /// a host that runs no process there refuses within a round trip.
 constexpr milliseconds ProbeTimeout{100};
-constexpr unsigned FirstFinalStatus = 200;
 constexpr unsigned FirstRedirectStatus = 300;
 constexpr unsigned FirstServerErrorStatus = 500;
 
@@ -58,36 +40,6 @@
 
 } // namespace
 
-/// A body whose capacity is part of the common budget.
-struct Exchange::BufferedBody {
-  explicit BufferedBody(BufferBudget &budget) : Memory(budget) {}
-
-  /// Makes room for `bytes` in all; returns false if the budget has none.
-  bool reserve(std::size_t bytes) {
-    if (bytes <= Text.capacity()) {
-      return true;
-    }
-    const std::size_t capacity = std::max(bytes, 2 * Text.capacity());
-    if (!Memory.resize(capacity)) {
-      return false;
-    }
-    Text.reserve(capacity);
-    return true;
-  }
-
-  std::string Text;
-  BufferBudget::Lease Memory;
-};
-
-struct Exchange::ResponseReader {
-  /// Bounded, since the parser waits for the end of a chunk's extension.
-  beast::flat_buffer Buffer{MaxTargetBufferBytes};
-  std::optional<http::response_parser<http::buffer_body>> Parser;
-  std::array<char, PartBufferBytes> PartBuffer{};
-  platform::ResponseHead Head;
-  unsigned Status = 0;
-};
-
 Exchange::Exchange(TargetConnectionPool &pool, BufferBudget &buffers,
                    ExchangeRequest request, ResponseWriter &writer,
                    routing::EventStreamBuffer *events)
@@ -186,123 +138,38 @@
   }
 }
 
-asio::awaitable<bool> Exchange::readHead(ResponseReader &reader) {
-  for (int skipped = 0; skipped <= MaxSkippedHeads; ++skipped) {
-    reader.Parser.emplace();
-    reader.Parser->body_limit(boost::none);
-    reader.Parser->skip(Request.ResponseHasNoBody);
-    const boost::system::error_code ec = co_await readParsedHead(
-        *Connection, reader.Buffer, *reader.Parser, MaxTargetHeaderBytes);
-    if (ec) {
-      fail(ExchangeResult::Broken,
-           Unacknowledged ? "request not acknowledged"
-           : SendError    ? "cannot send the request: " + SendError.message()
-                          : "cannot read the response header: " + ec.message());
-      co_return false;
-    }
-    if (hasUnknownTransferCoding(reader.Parser->get())) {
-      fail(ExchangeResult::Broken, "unknown transfer coding");
-      co_return false;
-    }
-    reader.Status = reader.Parser->get().result_int();
-    reader.Head = platform::parseResponseHead(reader.Parser->get().base());
-    if (reader.Status < FirstFinalStatus) {
-      continue;
-    }
-    const bool isUnnamed = reader.Head.RequestId.empty();
-    if (isUnnamed && IsReused) {
-      fail(ExchangeResult::Broken,
-           "response without a request id on a kept connection");
-      co_return false;
-    }
-    if (isUnnamed || reader.Head.RequestId == Request.RequestId) {
-      co_return true;
-    }
-    Request.OnResponseHead(reader.Head, true);
-    // Skips a duplicate response to an earlier request on this connection.
-    BufferedBody ignored(Buffers);
-    const bool complete =
-        co_await readBody(reader, ignored, MaxSkippedBodyBytes);
-    if (!complete || !reader.Parser->get().keep_alive()) {
-      fail(ExchangeResult::Broken, "response to another request");
-      co_return false;
-    }
-  }
-  fail(ExchangeResult::Broken, "more than " + std::to_string(MaxSkippedHeads) +
-                                   " heads before the response");
-  co_return false;
-}
-
-asio::awaitable<bool> Exchange::readBody(ResponseReader &reader,
-                                         BufferedBody &body,
-                                         std::size_t maxBytes) {
-  const boost::optional<std::uint64_t> stated = reader.Parser->content_length();
-  bool tooLarge = stated && !reader.Parser->is_done() && *stated > maxBytes;
-  while (!reader.Parser->is_done() && !tooLarge) {
-    boost::system::error_code ec;
-    reader.Parser->get().body().data = reader.PartBuffer.data();
-    reader.Parser->get().body().size = reader.PartBuffer.size();
-    co_await http::async_read_some(
-        *Connection, reader.Buffer, *reader.Parser,
-        asio::redirect_error(asio::use_awaitable, ec));
-    if (ec && ec != http::error::need_buffer) {
-      fail(ExchangeResult::Broken, "answer cut: " + ec.message());
-      co_return false;
-    }
-    const std::size_t n =
-        reader.PartBuffer.size() - reader.Parser->get().body().size;
-    const std::size_t size = body.Text.size() + n;
-    if (size > maxBytes) {
-      tooLarge = true;
-      break;
-    }
-    if (!body.reserve(size)) {
-      fail(ExchangeResult::Broken, "no memory to buffer more than " +
-                                       std::to_string(body.Text.size()) +
-                                       " bytes of the response body");
-      co_return false;
-    }
-    body.Text.append(reader.PartBuffer.data(), n);
-  }
-  if (tooLarge) {
-    fail(ExchangeResult::Broken,
-         "response body larger than " + std::to_string(maxBytes) + " bytes");
-  }
-  co_return !tooLarge;
-}
-
 /// Turns a complete response into an outcome.
-void Exchange::classifyResponse(ResponseReader &reader, BufferedBody body) {
-  if (reader.Head.NotRun) {
-    Outcome.Result = reader.Head.Misdirected ? ExchangeResult::Misdirected
-                                             : ExchangeResult::Refused;
-    Outcome.Reason = reader.Head.Misdirected
+void Exchange::classifyResponse(const TargetResponse &reader,
+                                BufferedBody body) {
+  if (reader.head().NotRun) {
+    Outcome.Result = reader.head().Misdirected ? ExchangeResult::Misdirected
+                                               : ExchangeResult::Refused;
+    Outcome.Reason = reader.head().Misdirected
                          ? "address is used by another target"
-                         : "status " + std::to_string(reader.Status);
+                         : "status " + std::to_string(reader.status());
     return;
   }
-  const bool success = reader.Status < FirstRedirectStatus;
-  if (success && !reader.Head.Signed) {
+  const bool success = reader.status() < FirstRedirectStatus;
+  if (success && !reader.head().Signed) {
     fail(ExchangeResult::Broken, "successful response without a signature");
     return;
   }
-  if (isNotRunStatus(reader.Status)) {
+  if (isNotRunStatus(reader.status())) {
     fail(ExchangeResult::Failed,
-         "status " + std::to_string(reader.Status) +
+         "status " + std::to_string(reader.status()) +
              " without a statement that the request did not run");
     return;
   }
-  Outcome.Result = reader.Status >= FirstServerErrorStatus
+  Outcome.Result = reader.status() >= FirstServerErrorStatus
                        ? ExchangeResult::Failed
                        : ExchangeResult::Completed;
-  Outcome.Reason = "status " + std::to_string(reader.Status);
+  Outcome.Reason = "status " + std::to_string(reader.status());
   Outcome.Response = BufferedResponse{
-      reader.Status,
-      platform::makeForwardedResponseFields(reader.Parser->get().base()),
+      reader.status(), platform::makeForwardedResponseFields(reader.fields()),
       std::move(body.Text), std::move(body.Memory)};
 }
 
-asio::awaitable<bool> Exchange::forwardPart(ResponseReader &reader,
+asio::awaitable<bool> Exchange::forwardPart(const TargetResponse &reader,
                                             std::string_view part,
                                             bool isLast) {
   std::string completeEvents;
@@ -316,8 +183,8 @@
   bool sent = true;
   if (!Writer.hasStarted() && (isLast || !part.empty())) {
     const ResponseFields fields =
-        platform::makeForwardedResponseFields(reader.Parser->get().base());
-    sent = co_await Writer.beginChunked(reader.Status, fields, part);
+        platform::makeForwardedResponseFields(reader.fields());
+    sent = co_await Writer.beginChunked(reader.status(), fields, part);
     part = {};
   }
   if (sent && isLast) {
@@ -334,32 +201,22 @@
 
 /// Whether a body that has ended is a stream that was broken off. The framing
 /// of a body does not tell: it may be ended in due form inside an event.
-bool Exchange::isCutOff(const ResponseReader &reader) const {
-  const bool unframed = reader.Parser->need_eof();
-  return Boundary.isInsideEvent() ? unframed || reader.Head.IsEventStream
+bool Exchange::isCutOff(const TargetResponse &reader) const {
+  const bool unframed = reader.endsWithConnection();
+  return Boundary.isInsideEvent() ? unframed || reader.head().IsEventStream
                                   : unframed && !Boundary.hasEvent();
 }
 
-asio::awaitable<void> Exchange::forwardStream(ResponseReader &reader) {
+asio::awaitable<void> Exchange::forwardStream(TargetResponse &reader) {
   BufferBudget::Lease lease(Buffers);
   for (;;) {
-    boost::system::error_code ec;
-    reader.Parser->get().body().data = reader.PartBuffer.data();
-    reader.Parser->get().body().size = reader.PartBuffer.size();
-    // A response without content is complete with its header.
-    if (!reader.Parser->is_done()) {
-      co_await http::async_read_some(
-          *Connection, reader.Buffer, *reader.Parser,
-          asio::redirect_error(asio::use_awaitable, ec));
-    }
-    if (ec && ec != http::error::need_buffer) {
+    const boost::system::error_code ec = co_await reader.readPart();
+    if (ec) {
       fail(ExchangeResult::Broken, "stream cut: " + ec.message());
       co_return;
     }
-    const std::string_view part(reader.PartBuffer.data(),
-                                reader.PartBuffer.size() -
-                                    reader.Parser->get().body().size);
-    const bool isLast = reader.Parser->is_done();
+    const std::string_view part = reader.part();
+    const bool isLast = reader.isComplete();
     const std::optional<std::size_t> boundary = Boundary.append(part);
     const bool endsCutOff = isLast && isCutOff(reader);
     if (boundary || (isLast && !endsCutOff && !part.empty())) {
@@ -394,24 +251,21 @@
     }
     if (isLast) {
       Outcome.Result = ExchangeResult::Completed;
-      Outcome.Reason = "status " + std::to_string(reader.Status);
+      Outcome.Reason = "status " + std::to_string(reader.status());
       co_return;
     }
   }
 }
 
-void Exchange::releaseConnection(ResponseReader &reader) {
-  ResponseReceived = reader.Parser->is_done();
-  const bool reusable =
-      Outcome.Result != ExchangeResult::Broken && !Sending && !SendError &&
-      ResponseReceived && reader.Parser->get().keep_alive() &&
-      !reader.Parser->need_eof() && reader.Buffer.size() == 0 &&
-      !reader.Head.RequestId.empty();
+void Exchange::releaseConnection(const TargetResponse &reader) {
+  ResponseReceived = reader.isComplete();
+  const bool reusable = Outcome.Result != ExchangeResult::Broken && !Sending &&
+                        !SendError && reader.leavesConnectionUsable();
   if (!reusable || Aborted) {
     return;
   }
-  const Duration idleTimeout = reader.Head.IdleTimeout
-                                   ? Duration(*reader.Head.IdleTimeout)
+  const Duration idleTimeout = reader.head().IdleTimeout
+                                   ? Duration(*reader.head().IdleTimeout)
                                    : Duration(DefaultIdleTimeout);
   const Time now = bootTimeNow();
   if (idleTimeout > IdleTimeoutMargin) {
@@ -428,17 +282,27 @@
     co_return;
   }
   startSending();
-  ResponseReader reader;
-  const bool headReceived = co_await readHead(reader);
+  TargetResponse reader(*Connection, Buffers,
+                        {Request.RequestId, Request.ResponseHasNoBody, IsReused,
+                         [this](const platform::ResponseHead &head) {
+                           Request.OnResponseHead(head, true);
+                         }});
+  const bool headReceived = co_await reader.readHead();
   if (!headReceived) {
+    const bool unread = reader.headError().failed();
+    fail(ExchangeResult::Broken,
+         unread && Unacknowledged ? "request not acknowledged"
+         : unread && SendError
+             ? "cannot send the request: " + SendError.message()
+             : reader.reason());
     co_return;
   }
   HeadReceived = true;
-  Request.OnResponseHead(reader.Head, false);
-  const bool isSuccess = reader.Status < FirstRedirectStatus &&
-                         reader.Head.Signed && !reader.Head.NotRun;
+  Request.OnResponseHead(reader.head(), false);
+  const bool isSuccess = reader.status() < FirstRedirectStatus &&
+                         reader.head().Signed && !reader.head().NotRun;
   const bool isResumed = Writer.hasStarted();
-  if (isSuccess && isResumed && !reader.Head.IsEventStream) {
+  if (isSuccess && isResumed && !reader.head().IsEventStream) {
     fail(ExchangeResult::Broken, "resumed stream is not an event stream");
     co_return;
   }
@@ -446,9 +310,11 @@
     co_await forwardStream(reader);
   } else {
     BufferedBody body(Buffers);
-    const bool complete = co_await readBody(reader, body, MaxBufferedBodyBytes);
+    const bool complete = co_await reader.readBody(body, MaxBufferedBodyBytes);
     if (complete) {
       classifyResponse(reader, std::move(body));
+    } else {
+      fail(ExchangeResult::Broken, reader.reason());
     }
   }
   releaseConnection(reader);
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -7,6 +7,7 @@
 #include "nutmegsill/routing/event_stream_buffer.h"
 #include "response_writer.h"
 #include "target_connection_pool.h"
+#include "target_response.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -69,8 +70,6 @@
   bool awaitsResponse() const { return Outcome.RequestSent && !Transferred; }
 
 private:
-  struct BufferedBody;
-  struct ResponseReader;
   boost::asio::awaitable<bool> connect();
   /// Sends the request while the response is awaited: a target may respond
   /// before it has read all of the request.
@@ -78,19 +77,16 @@
   /// Closes the connection if bytes of the request are left, and waits until
   /// none is being sent.
   boost::asio::awaitable<void> stopSending();
-  boost::asio::awaitable<bool> readHead(ResponseReader &reader);
-  boost::asio::awaitable<bool>
-  readBody(ResponseReader &reader, BufferedBody &body, std::size_t maxBytes);
-  boost::asio::awaitable<void> forwardStream(ResponseReader &reader);
+  boost::asio::awaitable<void> forwardStream(TargetResponse &reader);
   /// Returns false when the caller cannot be reached, which ends the exchange.
-  boost::asio::awaitable<bool> forwardPart(ResponseReader &reader,
+  boost::asio::awaitable<bool> forwardPart(const TargetResponse &reader,
                                            std::string_view part, bool isLast);
-  bool isCutOff(const ResponseReader &reader) const;
+  bool isCutOff(const TargetResponse &reader) const;
   boost::asio::awaitable<void> transfer();
   boost::asio::awaitable<void> probeLostTarget();
   void discardConnection();
-  void classifyResponse(ResponseReader &reader, BufferedBody body);
-  void releaseConnection(ResponseReader &reader);
+  void classifyResponse(const TargetResponse &reader, BufferedBody body);
+  void releaseConnection(const TargetResponse &reader);
   void fail(routing::ExchangeResult result, std::string reason);
 
   TargetConnectionPool &Connections;
