Gateway: a broken exchange says what of the request was not sent

The reason in the log names the bytes that were not sent and the error of the sending: it parts a reset that the pending write was told of from an end of the connection.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -6,11 +6,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
-#include <array>
-
 namespace nutmegsill::gateway {
 
 namespace asio = boost::asio;
@@ -53,9 +50,10 @@
 
 void Exchange::checkAcknowledged(Time now) {
   constexpr routing::AcknowledgementPolicy policy;
-  const bool isOverdue = awaitsResponse() && !HeadReceived && !Sending &&
-                         Connection && Connection->is_open() &&
-                         policy.isOverdue(now - SentAt, now - HeardAt);
+  const bool isOverdue = awaitsResponse() && !HeadReceived &&
+                         !Sender.isSending() && Connection &&
+                         Connection->is_open() &&
+                         policy.isOverdue(now - Sender.sentAt(), now - HeardAt);
   if (isOverdue && unacknowledgedBytes(*Connection) > 0) {
     Unacknowledged = true;
     discardConnection();
@@ -81,6 +79,10 @@
 void Exchange::fail(ExchangeResult result, std::string reason) {
   Outcome.Result = Aborted ? ExchangeResult::Cancelled : result;
   Outcome.Reason = std::move(reason);
+  const std::string unsent = Sender.describe();
+  if (result == ExchangeResult::Broken && !unsent.empty()) {
+    Outcome.Reason += ", " + unsent;
+  }
 }
 
 asio::awaitable<bool> Exchange::connect() {
@@ -109,33 +111,18 @@
 }
 
 void Exchange::startSending() {
-  const std::array<asio::const_buffer, 2> parts{
-      asio::buffer(Request.Head),
-      asio::buffer(Request.Body.data(), Request.Body.size())};
   Request.OnConnected();
   Outcome.RequestSent = true;
-  SentAt = bootTimeNow();
-  Sending = true;
-  SendingEnd.emplace(Connection->get_executor(),
-                     asio::steady_timer::time_point::max());
-  asio::async_write(*Connection, parts,
-                    [this](boost::system::error_code ec, std::size_t) {
-                      Sending = false;
-                      SentAt = bootTimeNow();
-                      SendError = ec;
-                      SendingEnd->cancel();
-                    });
+  Sender.start(*Connection,
+               {asio::buffer(Request.Head),
+                asio::buffer(Request.Body.data(), Request.Body.size())});
 }
 
 asio::awaitable<void> Exchange::stopSending() {
-  boost::system::error_code ec;
-  if (Sending) {
+  if (Sender.isSending()) {
     discardConnection();
   }
-  while (Sending) {
-    co_await SendingEnd->async_wait(
-        asio::redirect_error(asio::use_awaitable, ec));
-  }
+  co_await Sender.wait();
 }
 
 /// Turns a complete response into an outcome.
@@ -259,8 +246,8 @@
 
 void Exchange::releaseConnection(const TargetResponse &reader) {
   ResponseReceived = reader.isComplete();
-  const bool reusable = Outcome.Result != ExchangeResult::Broken && !Sending &&
-                        !SendError && reader.leavesConnectionUsable();
+  const bool reusable = Outcome.Result != ExchangeResult::Broken &&
+                        Sender.isSent() && reader.leavesConnectionUsable();
   if (!reusable || Aborted) {
     return;
   }
@@ -290,11 +277,9 @@
   const bool headReceived = co_await reader.readHead();
   if (!headReceived) {
     const bool unread = reader.headError().failed();
-    fail(ExchangeResult::Broken,
-         unread && Unacknowledged ? "request not acknowledged"
-         : unread && SendError
-             ? "cannot send the request: " + SendError.message()
-             : reader.reason());
+    fail(ExchangeResult::Broken, unread && Unacknowledged
+                                     ? "request not acknowledged"
+                                     : reader.reason());
     co_return;
   }
   HeadReceived = true;
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -5,12 +5,11 @@
 #include "nutmegsill/platform/headers.h"
 #include "nutmegsill/routing/dispatcher.h"
 #include "nutmegsill/routing/event_stream_buffer.h"
+#include "request_sender.h"
 #include "response_writer.h"
 #include "target_connection_pool.h"
 #include "target_response.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <optional>
 #include <string>
@@ -96,15 +95,11 @@
   routing::EventStreamBuffer *Events;
   routing::EventBoundary Boundary;
   std::optional<TargetConnectionPool::Socket> Connection;
+  RequestSender Sender;
   /// The target was last heard, at the latest.
   Time HeardAt{};
-  Time SentAt{};
   /// Given up, as the target did not acknowledge the request.
   bool Unacknowledged = false;
-  bool Sending = false;
-  boost::system::error_code SendError;
-  /// Expires when `Sending` ends.
-  std::optional<boost::asio::steady_timer> SendingEnd;
   /// The connection has served an earlier request.
   bool IsReused = false;
   bool Aborted = false;
