Gateway: an answer without a length is whole only after an end in good order

Callers got part of a body as a complete, signed 200 when the target reset the connection while a long upload was being written.

Cause: the system reports the error of a connection once. The pending write got the reset, and the read that followed saw an end, which completes a body without a length. A peek (hasUnreadBytes) could take the error as well.

All readers of a body (buffered, stream, skipped) get their parts from TargetResponse::readPart, which has the rule; the client of the store and of engines uses it too.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -269,7 +269,7 @@
     co_return;
   }
   startSending();
-  TargetResponse reader(*Connection, Buffers,
+  TargetResponse reader(*Connection, Sender, Buffers,
                         {Request.RequestId, Request.ResponseHasNoBody, IsReused,
                          [this](const platform::ResponseHead &head) {
                            Request.OnResponseHead(head, true);
--- a/packages/gateway/src/target_response.cpp
+++ b/packages/gateway/src/target_response.cpp
@@ -38,9 +38,10 @@
   return true;
 }
 
-TargetResponse::TargetResponse(Socket &connection, BufferBudget &buffers,
-                               ExpectedResponse expected)
-    : Connection(connection), Buffers(buffers), Expected(std::move(expected)) {}
+TargetResponse::TargetResponse(Socket &connection, RequestSender &sender,
+                               BufferBudget &buffers, ExpectedResponse expected)
+    : Connection(connection), Sender(sender), Buffers(buffers),
+      Expected(std::move(expected)) {}
 
 bool TargetResponse::fail(std::string reason) {
   Reason = std::move(reason);
@@ -104,6 +105,13 @@
     ec = {};
   }
   PartBytes = PartBuffer.size() - body.size;
+  if (!ec && Parser->is_done() && Parser->need_eof()) {
+    const bool inOrder = co_await Sender.endsInOrder(Connection);
+    if (!inOrder) {
+      Cut = true;
+      ec = http::error::partial_message;
+    }
+  }
   co_return ec;
 }
 
--- a/packages/gateway/src/target_response.h
+++ b/packages/gateway/src/target_response.h
@@ -3,6 +3,7 @@
 
 #include "buffer_budget.h"
 #include "nutmegsill/platform/headers.h"
+#include "request_sender.h"
 #include "target_connection_pool.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -47,14 +48,14 @@
 class TargetResponse {
 public:
   using Socket = TargetConnectionPool::Socket;
-  TargetResponse(Socket &connection, BufferBudget &buffers,
-                 ExpectedResponse expected);
+  TargetResponse(Socket &connection, RequestSender &sender,
+                 BufferBudget &buffers, ExpectedResponse expected);
 
   /// Reads the header of the final response; skips interim responses and late
   /// ones. Returns false on errors, described by `reason`.
   boost::asio::awaitable<bool> readHead();
   /// Reads the next part of the body; a response without content is complete
-  /// with its header.
+  /// with its header, and one without a length only after an end in good order.
   boost::asio::awaitable<boost::system::error_code> readPart();
   /// Reads the rest of the body. Returns false on errors, described by
   /// `reason`.
@@ -68,7 +69,7 @@
   }
   /// What the last `readPart` has read.
   std::string_view part() const { return {PartBuffer.data(), PartBytes}; }
-  bool isComplete() const { return Parser && Parser->is_done(); }
+  bool isComplete() const { return Parser && Parser->is_done() && !Cut; }
   /// The body has neither a length nor chunks.
   bool endsWithConnection() const { return Parser->need_eof(); }
   /// Another request may be sent on the connection.
@@ -85,6 +86,7 @@
   bool fail(std::string reason);
 
   Socket &Connection;
+  RequestSender &Sender;
   BufferBudget &Buffers;
   ExpectedResponse Expected;
   /// Bounded, since the parser waits for the end of a chunk's extension.
@@ -94,6 +96,8 @@
       Parser;
   std::array<char, PartBufferBytes> PartBuffer{};
   std::size_t PartBytes = 0;
+  /// The connection has ended the body, and not in good order.
+  bool Cut = false;
   platform::ResponseHead Head;
   unsigned Status = 0;
   std::string Reason;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include "nutmegsill/http_client.h"
 
+#include "nutmegsill/connection_end.h"
 #include "nutmegsill/whole_head.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -108,6 +109,12 @@
   if (!ec && !parser.is_done()) {
     co_await http::async_read(stream, buf, parser, completionToken());
   }
+  if (!ec && parser.need_eof()) {
+    const ConnectionEnd end = connectionEnd(stream.socket().native_handle());
+    if (!end.IsOrderly || end.UnacknowledgedBytes > 0) {
+      ec = http::error::partial_message;
+    }
+  }
   if (ec) {
     response.Reason = "incomplete response: " + ec.message();
     response.TimedOut = ec == beast::error::timeout;
--- a/packages/standins/src/raw_target.cpp
+++ b/packages/standins/src/raw_target.cpp
@@ -45,6 +45,11 @@
   co_return ec == asio::error::connection_reset;
 }
 
+void RawTargetConnection::endSending() {
+  boost::system::error_code ec;
+  Socket.shutdown(tcp::socket::shutdown_send, ec);
+}
+
 void RawTargetConnection::close() {
   boost::system::error_code ec;
   Socket.close(ec);
--- a/packages/standins/src/raw_target.h
+++ b/packages/standins/src/raw_target.h
@@ -28,6 +28,8 @@
   boost::asio::awaitable<void> sleep(std::chrono::milliseconds duration);
   /// Reads until the connection ends; returns whether it was reset.
   boost::asio::awaitable<bool> readToReset();
+  /// Ends the sending side; the other one stays open.
+  void endSending();
   /// Closes the connection; the system resets it if bytes are unread.
   void close();
 
