Net: one strict reading of the heads of responses

Callers got a response that was placed in the body of a response with status 000, 099 or 101, or of an interim one; responses with status 600 to 999; and a signature to which a folded line had been joined ("own joined").

Cause: only the HTTP library checked a head. It takes any three digits for a status, and every status below 200 for one without a body; it joins lines that continue a field and takes lengths that are stated twice.

readResponseHead checks the bytes of a head before the library parses them: status 100 to 599 and not 101, names that are tokens, no folded lines, no control characters, one length at most, none beside chunks, no interim response with a body. Targets' final, interim and late responses and those of the store and of engines are read by it; the reason names what is wrong. Statuses from 600 are broken although a target's status is otherwise returned unchanged: HTTP has none of them, and 502 promises nothing. A response with several ids or signatures is broken, too, and so is a success whose signature Connection names. HttpClient takes no interim response for the final one.

--- a/packages/gateway/src/json_server.cpp
+++ b/packages/gateway/src/json_server.cpp
@@ -71,7 +71,7 @@
     http::request_parser<http::string_body> parser;
     parser.body_limit(MaxRequestBytes);
     stream.expires_after(KeepAliveTimeout);
-    ec = co_await readParsedHead(stream, buf, parser, MaxRequestBytes, "");
+    ec = co_await readRequestHead(stream, buf, parser, MaxRequestBytes);
     if (!ec && !parser.is_done()) {
       co_await http::async_read(stream, buf, parser,
                                 asio::redirect_error(asio::use_awaitable, ec));
--- a/packages/gateway/src/target_response.cpp
+++ b/packages/gateway/src/target_response.cpp
@@ -1,7 +1,7 @@
 #include "target_response.h"
 
+#include "nutmegsill/strict_head.h"
 #include "nutmegsill/transfer_coding.h"
-#include "nutmegsill/whole_head.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -58,16 +58,20 @@
     Parser.emplace();
     Parser->body_limit(boost::none);
     Parser->skip(Expected.HasNoBody);
-    HeadError = co_await readParsedHead(Connection, Buffer, *Parser,
-                                        MaxTargetHeaderBytes);
-    if (HeadError) {
-      co_return fail("cannot read the response header: " + HeadError.message());
+    const std::optional<ResponseHeadError> error = co_await readResponseHead(
+        Connection, Buffer, *Parser, MaxTargetHeaderBytes);
+    if (error) {
+      HeadError = error->Code;
+      co_return fail("cannot read the response header: " + error->Reason);
     }
     if (hasUnknownTransferCoding(Parser->get())) {
       co_return fail("unknown transfer coding");
     }
     Status = Parser->get().result_int();
     Head = platform::parseResponseHead(Parser->get().base());
+    if (Head.IsAmbiguous) {
+      co_return fail("response names several requests or signatures");
+    }
     if (Status < FirstFinalStatus) {
       continue;
     }
--- a/packages/net/include/nutmegsill/whole_head.h
+++ b/packages/net/include/nutmegsill/whole_head.h
@@ -53,15 +53,14 @@
   }
 }
 
-/// Reads and parses a head of at most `maxBytes`; the rest of
+/// Reads and parses the head of a request, of at most `maxBytes`; the rest of
 /// what was read stays in `buffer`.
 template <class Stream, class Parser>
 boost::asio::awaitable<boost::system::error_code>
-readParsedHead(Stream &stream, boost::beast::flat_buffer &buffer,
-               Parser &parser, std::uint32_t maxBytes,
-               std::string_view begin = "HTTP/1.") {
+readRequestHead(Stream &stream, boost::beast::flat_buffer &buffer,
+                Parser &parser, std::uint32_t maxBytes) {
   boost::system::error_code ec =
-      co_await readWholeHead(stream, buffer, maxBytes, begin);
+      co_await readWholeHead(stream, buffer, maxBytes, "");
   if (!ec) {
     parser.header_limit(maxBytes);
     parser.eager(false);
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -1,7 +1,8 @@
 #include "nutmegsill/http_client.h"
 
 #include "nutmegsill/connection_end.h"
-#include "nutmegsill/whole_head.h"
+#include "nutmegsill/strict_head.h"
+#include "nutmegsill/transfer_coding.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -26,6 +27,7 @@
 /// extension, or of a trailer: the HTTP library throws at fields of 64 KB.
 constexpr std::size_t MaxReadAheadBytes = 62U << 10U;
 constexpr std::uint32_t MaxHeadBytes = 8U << 10U;
+constexpr unsigned FirstFinalStatus = 200;
 constexpr std::size_t MaxIdlePerEndpoint = 8;
 /// Time limit for connecting. A lost SYN is sent again only after a second; the
 /// shorter limit lets a new attempt start earlier.
@@ -105,8 +107,21 @@
   beast::flat_buffer buf(MaxReadAheadBytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(MaxResponseBodyBytes);
-  ec = co_await readParsedHead(stream, buf, parser, MaxHeadBytes);
-  if (!ec && !parser.is_done()) {
+  const std::optional<ResponseHeadError> headError =
+      co_await readResponseHead(stream, buf, parser, MaxHeadBytes);
+  const bool isCoded = !headError && hasUnknownTransferCoding(parser.get());
+  // What follows an interim response would answer the next request.
+  const bool isInterim =
+      !headError && parser.get().result_int() < FirstFinalStatus;
+  if (headError || isCoded || isInterim) {
+    response.Reason = headError   ? headError->Reason
+                      : isInterim ? "interim response"
+                                  : "unknown transfer coding";
+    response.Reason.insert(0, "no response: ");
+    response.TimedOut = headError && headError->Code == beast::error::timeout;
+    co_return response;
+  }
+  if (!parser.is_done()) {
     co_await http::async_read(stream, buf, parser, completionToken());
   }
   if (!ec && parser.need_eof()) {
