Gateway: trailers of a response are not part of its header

Callers got a signature that stood in a trailer: the HTTP library adds the fields of trailers to those of the header, and the fields for the caller were taken after the body on buffered routes, and after its first events on resumable ones. They are now taken from the header before the body is read.

gateway_trailer_of_answer_is_not_part_of_header failed on the code before on /buy/a and /stream/resumed/a (the trailer's signature, and X-Trailer, in the header); it passes.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -151,9 +151,9 @@
                        ? ExchangeResult::Failed
                        : ExchangeResult::Completed;
   Outcome.Reason = "status " + std::to_string(reader.status());
-  Outcome.Response = BufferedResponse{
-      reader.status(), platform::makeForwardedResponseFields(reader.fields()),
-      std::move(body.Text), std::move(body.Memory)};
+  Outcome.Response =
+      BufferedResponse{reader.status(), reader.forwardedFields(),
+                       std::move(body.Text), std::move(body.Memory)};
 }
 
 asio::awaitable<bool> Exchange::forwardPart(const TargetResponse &reader,
@@ -169,8 +169,7 @@
   }
   bool sent = true;
   if (!Writer.hasStarted() && (isLast || !part.empty())) {
-    const ResponseFields fields =
-        platform::makeForwardedResponseFields(reader.fields());
+    const ResponseFields &fields = reader.forwardedFields();
     sent = co_await Writer.beginChunked(reader.status(), fields, part);
     part = {};
   }
--- a/packages/gateway/src/target_response.cpp
+++ b/packages/gateway/src/target_response.cpp
@@ -80,6 +80,8 @@
       co_return fail("response without a request id on a kept connection");
     }
     if (isUnnamed || Head.RequestId == Expected.RequestId) {
+      ForwardedFields =
+          platform::makeForwardedResponseFields(Parser->get().base());
       co_return true;
     }
     Expected.OnLateHead(Head);
--- a/packages/gateway/src/target_response.h
+++ b/packages/gateway/src/target_response.h
@@ -64,8 +64,10 @@
 
   const platform::ResponseHead &head() const { return Head; }
   unsigned status() const { return Status; }
-  const boost::beast::http::fields &fields() const {
-    return Parser->get().base();
+  /// Fields of the header for the caller. The HTTP library adds those of
+  /// trailers to the parsed ones.
+  const boost::beast::http::fields &forwardedFields() const {
+    return ForwardedFields;
   }
   /// What the last `readPart` has read.
   std::string_view part() const { return {PartBuffer.data(), PartBytes}; }
@@ -99,6 +101,7 @@
   /// The connection has ended the body, and not in good order.
   bool Cut = false;
   platform::ResponseHead Head;
+  boost::beast::http::fields ForwardedFields;
   unsigned Status = 0;
   std::string Reason;
   boost::system::error_code HeadError;
--- a/packages/gateway/test/gateway_answers_in_trouble_test.cpp
+++ b/packages/gateway/test/gateway_answers_in_trouble_test.cpp
@@ -218,6 +218,23 @@
   CHECK(response.Status == 502);
 }
 
+// Guards against trailers that are joined to the header.
+TEST_CASE_METHOD(GatewayAnswersInTroubleFixture,
+                 "gateway_trailer_of_answer_is_not_part_of_header") {
+  const std::string path =
+      GENERATE("/buy/a", "/stream/whole/a", "/stream/resumed/a");
+  const RawResponse response =
+      exchange("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nSignature: own\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+               "Signature: other\r\nX-Trailer: 1\r\nLoad: 1,1,1\r\n\r\n",
+               path);
+  CAPTURE(path);
+  CHECK(response.Status == 200);
+  CHECK(response.Complete);
+  CHECK(response.headerField("Signature") == "own");
+  CHECK(response.headerField("X-Trailer").empty());
+}
+
 TEST_CASE_METHOD(GatewayAnswersInTroubleFixture,
                  "gateway_late_answer_with_faulty_head_ends_connection") {
   const std::string line = GENERATE("X Odd: 1", " joined", "X-Odd : 1");
