--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -5,10 +5,10 @@
 #include "nutmegsill/platform/headers.h"
 #include "nutmegsill/routing/dispatcher.h"
 #include "nutmegsill/routing/event_stream_buffer.h"
+#include "request_sender.h"
 #include "response_writer.h"
 #include "target_connection_pool.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "target_response.h"
 
 #include <functional>
 #include <optional>
@@ -69,8 +69,6 @@
   bool awaitsResponse() const { return Outcome.RequestSent && !Transferred; }
 
 private:
-  struct BufferedBody;
-  struct ResponseReader;
   boost::asio::awaitable<bool> connect();
   /// Sends the request while the response is awaited: a target may respond
   /// before it has read all of the request.
@@ -78,19 +76,16 @@
   /// Closes the connection if bytes of the request are left, and waits until
   /// none is being sent.
   boost::asio::awaitable<void> stopSending();
-  boost::asio::awaitable<bool> readHead(ResponseReader &reader);
-  boost::asio::awaitable<bool>
-  readBody(ResponseReader &reader, BufferedBody &body, std::size_t maxBytes);
-  boost::asio::awaitable<void> forwardStream(ResponseReader &reader);
+  boost::asio::awaitable<void> forwardStream(TargetResponse &reader);
   /// Returns false when the caller cannot be reached, which ends the exchange.
-  boost::asio::awaitable<bool> forwardPart(ResponseReader &reader,
+  boost::asio::awaitable<bool> forwardPart(const TargetResponse &reader,
                                            std::string_view part, bool isLast);
-  bool isCutOff(const ResponseReader &reader) const;
+  bool isCutOff(const TargetResponse &reader) const;
   boost::asio::awaitable<void> transfer();
   boost::asio::awaitable<void> probeLostTarget();
   void discardConnection();
-  void classifyResponse(ResponseReader &reader, BufferedBody body);
-  void releaseConnection(ResponseReader &reader);
+  void classifyResponse(const TargetResponse &reader, BufferedBody body);
+  void releaseConnection(const TargetResponse &reader);
   void fail(routing::ExchangeResult result, std::string reason);
 
   TargetConnectionPool &Connections;
@@ -100,15 +95,11 @@
   routing::EventStreamBuffer *Events;
   routing::EventBoundary Boundary;
   std::optional<TargetConnectionPool::Socket> Connection;
+  RequestSender Sender;
   /// The target was last heard, at the latest.
   Time HeardAt{};
-  Time SentAt{};
   /// Given up, as the target did not acknowledge the request.
   bool Unacknowledged = false;
-  bool Sending = false;
-  boost::system::error_code SendError;
-  /// Expires when `Sending` ends.
-  std::optional<boost::asio::steady_timer> SendingEnd;
   /// The connection has served an earlier request.
   bool IsReused = false;
   bool Aborted = false;
