Log and count the runs that a stream is made of

Callers saw events out of order on real processes, and no log told why: neither the event after which a run resumed a stream nor the ids that it began with were recorded, so that a target which begins again could not be told from a stream that was cut.

Change: request/run_ended is logged for each run that resumes a stream or does not complete it, with the event after which it was to begin, the first one that it sent and the last one forwarded; nutmegsill_stream_runs_total counts all runs.

--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -6,6 +6,7 @@
 #include "nutmegsill/routing/request_lifecycle.h"
 #include "request_log.h"
 #include "request_reader.h"
+#include "stream_run.h"
 #include "target_request.h"
 #include "traffic_server.h"
 
@@ -85,6 +86,11 @@
     /// Time from the arrival to the first part of the response.
     std::optional<Duration> TimeToFirstPart;
     std::optional<routing::EventStreamBuffer> Events;
+
+    /// Id of the event after which a stream goes on, if any.
+    std::string lastEventId() const {
+      return Events ? Events->lastEventId() : std::string();
+    }
   };
 
   /// Reads the rest of a request whose head is known, unless it is rejected
@@ -401,7 +407,14 @@
       }
       break;
     }
+    const std::string resumedAfter = request.lastEventId();
     outcome = co_await attempt(request, *assignment);
+    if (request.Events && outcome.RequestSent) {
+      recordStreamRun(Context.Counters,
+                      {request.Head.RequestId, assignment->Target, resumedAfter,
+                       outcome.Result, outcome.Reason},
+                      *request.Events);
+    }
     routing::AttemptOutcome attemptOutcome;
     attemptOutcome.Result = outcome.Result;
     attemptOutcome.RequestSent = outcome.RequestSent;
@@ -409,8 +422,7 @@
                                CancelledBy == CancelCause::TimeLimit ||
                                outcome.CallerDisconnected;
     attemptOutcome.ResponseStarted = Writer.hasStarted();
-    attemptOutcome.MayResume =
-        request.Events && !request.Events->lastEventId().empty();
+    attemptOutcome.MayResume = !request.lastEventId().empty();
     attemptOutcome.Reason = outcome.Reason;
     const bool mayRetry = lifecycle.finishAttempt(
         Context.Dispatcher, *assignment, attemptOutcome, bootTimeNow());
@@ -418,7 +430,7 @@
       break;
     }
     if (request.Events) {
-      request.Events->dropIncomplete();
+      request.Events->beginRun();
     }
   }
   lifecycle.releaseReserved(Context.Dispatcher, bootTimeNow());
@@ -453,9 +465,7 @@
   forwarded.Team = request.Admitted->Team;
   forwarded.RemainingTime = milliseconds(std::max<std::int64_t>(
       1, toMilliseconds(request.Lifecycle->remainingTime(bootTimeNow()))));
-  if (request.Events) {
-    forwarded.LastEventId = request.Events->lastEventId();
-  }
+  forwarded.LastEventId = request.lastEventId();
   ExchangeRequest out = makeTargetRequest(request.Message, forwarded);
   out.RequestId = request.Head.RequestId;
   out.IsStream =
--- a/packages/process/src/metrics.cpp
+++ b/packages/process/src/metrics.cpp
@@ -70,6 +70,8 @@
                                    "target")),
         Hedges(registerCounter(*Registry, "nutmegsill_hedges_total",
                                "Second attempts beside slow first ones")),
+        StreamRuns(registerCounter(*Registry, "nutmegsill_stream_runs_total",
+                                   "Runs of streams at targets")),
         CallerRefusals(registerCounter(
             *Registry, "nutmegsill_callers_limited_total",
             "Callers that were refused or closed for a limit of the router")),
@@ -121,6 +123,7 @@
   Family<Counter> &OfferedConnections;
   Family<Counter> &PlaceWaits;
   Family<Counter> &Hedges;
+  Family<Counter> &StreamRuns;
   Family<Counter> &CallerRefusals;
   Gauge &CallerMemory;
   Family<Histogram> &RequestLatency;
@@ -223,6 +226,10 @@
   Impl->Hedges.Add({{"result", won ? "won" : "lost"}}).Increment();
 }
 
+void Metrics::countStreamRun(const std::string &run, const std::string &end) {
+  Impl->StreamRuns.Add({{"run", run}, {"end", end}}).Increment();
+}
+
 void Metrics::countPlaceWait(const std::string &outcome) {
   Impl->PlaceWaits.Add({{"outcome", outcome}}).Increment();
 }
--- a/packages/process/src/metrics.h
+++ b/packages/process/src/metrics.h
@@ -50,6 +50,9 @@
   void countHedge(bool won);
   /// Counts a request that waited for a place at a target, by how that ended.
   void countPlaceWait(const std::string &outcome);
+  /// Counts a run of a stream at a target, "begun" or "resumed", by how it
+  /// ended.
+  void countStreamRun(const std::string &run, const std::string &end);
   /// Counts a caller at `port` that was refused or closed for a limit of the
   /// router.
   void countCallerRefusal(const std::string &port, const std::string &reason);
--- a/packages/routing/include/nutmegsill/routing/event_stream_buffer.h
+++ b/packages/routing/include/nutmegsill/routing/event_stream_buffer.h
@@ -43,19 +43,23 @@
   std::string takeIncomplete();
   /// Discards the incomplete event; call before the stream resumes on another
   /// target.
-  void dropIncomplete() {
+  void beginRun() {
     Pending.clear();
     Boundary.reset();
+    FirstEventId.clear();
   }
   /// Id of the last complete event that had one; empty before the first, and
   /// if the id cannot be sent in a header.
   const std::string &lastEventId() const { return LastEventId; }
+  /// Id of the first complete event of this run that had one.
+  const std::string &firstEventId() const { return FirstEventId; }
 
 private:
   void recordEventId(std::string_view event);
   std::string Pending;
   EventBoundary Boundary;
   std::string LastEventId;
+  std::string FirstEventId;
 };
 
 } // namespace nutmegsill::routing
--- a/packages/routing/src/event_stream_buffer.cpp
+++ b/packages/routing/src/event_stream_buffer.cpp
@@ -93,6 +93,9 @@
     }
     if (mayNameEvent(line)) {
       LastEventId.assign(line);
+      if (FirstEventId.empty()) {
+        FirstEventId = LastEventId;
+      }
     } else {
       LastEventId.clear();
     }
--- a/packages/routing/test/event_stream_buffer_test.cpp
+++ b/packages/routing/test/event_stream_buffer_test.cpp
@@ -58,7 +58,7 @@
         "id: 4\r\ndata: c\r\n\r\n");
   CHECK(events.lastEventId() == "4");
   events.append("id: 5\n");
-  events.dropIncomplete();
+  events.beginRun();
   CHECK(events.takeIncomplete() == "");
   CHECK(events.lastEventId() == "4");
 }
