Admit an event only where it follows those forwarded

An event without an id came twice, and a caller that took a stream up after event 3 could get events 1 to 5.

Cause: nothing compared the ids of a run with what had been forwarded. The bytes of two runs were joined on the assumption that the second one goes on after the id that it was sent.

Change: StreamSequence admits each complete event of a stream over all its runs, and of a resumable one also after the caller's own last event. An id that does not increase ends its run; a run that does not begin after the last event is not joined, so that another target or the caller resumes. Repeated events are not dropped: a run that does not go on after the id may hold another text. Ids need not be consecutive; a gap between runs counts where all ids so far stepped by one. Ids that are no numbers are compared for equality. After an event without an id a stream is not resumed. StreamForwarding takes the forwarding out of the exchange; all streams go out by whole events, so that no piece of a refused one does.

The stand-in's endless events all had id 1, which is now a fault after the first event; they are numbered, so that the tests with them keep their load.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "nutmegsill/routing/acknowledgement_policy.h"
+#include "stream_forwarding.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -19,9 +20,6 @@
 
 namespace {
 
-/// Longest event of a stream; longer ones are taken for bytes of a faulty
-/// target.
-constexpr std::size_t MaxEventBytes = 64U << 10U;
 /// Time before the target's own idle timeout at which a connection is closed.
 constexpr milliseconds IdleTimeoutMargin{1'500};
 /// Idle timeout assumed for targets that state none.
@@ -169,91 +167,14 @@
       std::move(body.Text), std::move(body.Memory)};
 }
 
-asio::awaitable<bool> Exchange::forwardPart(const TargetResponse &reader,
-                                            std::string_view part,
-                                            bool isLast) {
-  std::string completeEvents;
-  if (Events != nullptr) {
-    completeEvents = Events->append(part);
-    if (isLast) {
-      completeEvents += Events->takeIncomplete();
-    }
-    part = completeEvents;
-  }
-  bool sent = true;
-  if (!Writer.hasStarted() && (isLast || !part.empty())) {
-    const ResponseFields fields =
-        platform::makeForwardedResponseFields(reader.fields());
-    sent = co_await Writer.beginChunked(reader.status(), fields, part);
-    part = {};
-  }
-  if (sent && isLast) {
-    sent = co_await Writer.finishChunked(part);
-  } else if (sent) {
-    sent = co_await Writer.writeChunk(part);
-  }
-  if (!sent) {
-    Outcome.CallerDisconnected = true;
-    fail(ExchangeResult::Cancelled, "caller disconnected");
-  }
-  co_return sent;
-}
-
-/// Whether a body that has ended is a stream that was broken off. The framing
-/// of a body does not tell: it may be ended in due form inside an event.
-bool Exchange::isCutOff(const TargetResponse &reader) const {
-  const bool unframed = reader.endsWithConnection();
-  return Boundary.isInsideEvent() ? unframed || reader.head().IsEventStream
-                                  : unframed && !Boundary.hasEvent();
-}
-
 asio::awaitable<void> Exchange::forwardStream(TargetResponse &reader) {
-  BufferBudget::Lease lease(Buffers);
-  for (;;) {
-    const boost::system::error_code ec = co_await reader.readPart();
-    if (ec) {
-      fail(ExchangeResult::Broken, "stream cut: " + ec.message());
-      co_return;
-    }
-    const std::string_view part = reader.part();
-    const bool isLast = reader.isComplete();
-    const std::optional<std::size_t> boundary = Boundary.append(part);
-    const bool endsCutOff = isLast && isCutOff(reader);
-    if (boundary || (isLast && !endsCutOff && !part.empty())) {
-      Request.OnProgress();
-    }
-    if (Boundary.pendingBytes() > MaxEventBytes) {
-      fail(ExchangeResult::Broken,
-           "event longer than " + std::to_string(MaxEventBytes) + " bytes");
-      co_return;
-    }
-    if (Events != nullptr && !lease.resize(Boundary.pendingBytes())) {
-      fail(ExchangeResult::Broken, "no memory to buffer more than " +
-                                       std::to_string(Boundary.pendingBytes()) +
-                                       " bytes of an event");
-      co_return;
-    }
-    if (endsCutOff) {
-      const bool forwarded =
-          !boundary ||
-          co_await forwardPart(reader, part.substr(0, *boundary), false);
-      if (forwarded) {
-        fail(ExchangeResult::Broken, "stream ended inside an event");
-      }
-      co_return;
-    }
-    if (part.empty() && !isLast) {
-      continue;
-    }
-    const bool forwarded = co_await forwardPart(reader, part, isLast);
-    if (!forwarded) {
-      co_return;
-    }
-    if (isLast) {
-      Outcome.Result = ExchangeResult::Completed;
-      Outcome.Reason = "status " + std::to_string(reader.status());
-      co_return;
-    }
+  StreamForwarding forwarding(reader, Writer, *Events, Buffers);
+  StreamEnd end = co_await forwarding.run(Request.OnProgress);
+  Outcome.CallerDisconnected = end.CallerDisconnected;
+  Outcome.Result = end.Result;
+  Outcome.Reason = std::move(end.Reason);
+  if (Aborted && end.Result != ExchangeResult::Completed) {
+    Outcome.Result = ExchangeResult::Cancelled;
   }
 }
 
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -53,8 +53,7 @@
 /// Runs a single exchange. Not thread-safe.
 class Exchange {
 public:
-  /// `events` buffers a stream that may be resumed on another target; may be
-  /// null.
+  /// `events` holds a stream over all its runs; null for other requests.
   Exchange(TargetConnectionPool &pool, BufferBudget &buffers,
            ExchangeRequest request, ResponseWriter &writer,
            routing::EventStreamBuffer *events);
@@ -78,10 +77,6 @@
   /// none is being sent.
   boost::asio::awaitable<void> stopSending();
   boost::asio::awaitable<void> forwardStream(TargetResponse &reader);
-  /// Returns false when the caller cannot be reached, which ends the exchange.
-  boost::asio::awaitable<bool> forwardPart(const TargetResponse &reader,
-                                           std::string_view part, bool isLast);
-  bool isCutOff(const TargetResponse &reader) const;
   boost::asio::awaitable<void> transfer();
   boost::asio::awaitable<void> probeLostTarget();
   void discardConnection();
@@ -94,7 +89,6 @@
   ExchangeRequest Request;
   ResponseWriter &Writer;
   routing::EventStreamBuffer *Events;
-  routing::EventBoundary Boundary;
   std::optional<TargetConnectionPool::Socket> Connection;
   /// The target was last heard, at the latest.
   Time HeardAt{};
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -27,7 +27,6 @@
 using routing::Assignment;
 using routing::ExchangeResult;
 using routing::LocalResponse;
-using routing::RouteRule;
 
 namespace {
 
@@ -85,11 +84,9 @@
     std::optional<routing::RequestLifecycle> Lifecycle;
     /// Time from the arrival to the first part of the response.
     std::optional<Duration> TimeToFirstPart;
-    std::optional<routing::EventStreamBuffer> Events;
-
-    /// Id of the event after which a stream goes on, if any.
-    std::string lastEventId() const {
-      return Events ? Events->lastEventId() : std::string();
+    routing::EventStreamBuffer Events;
+    bool isStream() const {
+      return Admitted->Route->Semantics == routing::ExecutionSemantics::Stream;
     }
   };
 
@@ -373,10 +370,8 @@
   Context.Dispatcher.recordRequest(request.Lifecycle->dispatchRequest(),
                                    request.ArrivedAt);
   Context.Hedges.recordRequest(request.Admitted->Pool, request.ArrivedAt);
-  const RouteRule &route = *request.Admitted->Route;
-  if (route.Semantics == routing::ExecutionSemantics::Stream &&
-      route.Resumable) {
-    request.Events.emplace();
+  if (request.Admitted->Route->Resumable) {
+    request.Events = routing::EventStreamBuffer(request.Head.LastEventId);
   }
   co_await dispatch(request);
 }
@@ -407,13 +402,12 @@
       }
       break;
     }
-    const std::string resumedAfter = request.lastEventId();
     outcome = co_await attempt(request, *assignment);
-    if (request.Events && outcome.RequestSent) {
+    if (request.isStream() && outcome.RequestSent) {
       recordStreamRun(Context.Counters,
-                      {request.Head.RequestId, assignment->Target, resumedAfter,
+                      {request.Head.RequestId, assignment->Target,
                        outcome.Result, outcome.Reason},
-                      *request.Events);
+                      request.Events);
     }
     routing::AttemptOutcome attemptOutcome;
     attemptOutcome.Result = outcome.Result;
@@ -422,16 +416,14 @@
                                CancelledBy == CancelCause::TimeLimit ||
                                outcome.CallerDisconnected;
     attemptOutcome.ResponseStarted = Writer.hasStarted();
-    attemptOutcome.MayResume = !request.lastEventId().empty();
+    attemptOutcome.MayResume = !request.Events.lastEventId().empty();
     attemptOutcome.Reason = outcome.Reason;
     const bool mayRetry = lifecycle.finishAttempt(
         Context.Dispatcher, *assignment, attemptOutcome, bootTimeNow());
     if (!mayRetry) {
       break;
     }
-    if (request.Events) {
-      request.Events->beginRun();
-    }
+    request.Events.beginRun();
   }
   lifecycle.releaseReserved(Context.Dispatcher, bootTimeNow());
   if (lifecycle.endWait(Context.Dispatcher)) {
@@ -465,11 +457,10 @@
   forwarded.Team = request.Admitted->Team;
   forwarded.RemainingTime = milliseconds(std::max<std::int64_t>(
       1, toMilliseconds(request.Lifecycle->remainingTime(bootTimeNow()))));
-  forwarded.LastEventId = request.lastEventId();
+  forwarded.LastEventId = request.Events.lastEventId();
   ExchangeRequest out = makeTargetRequest(request.Message, forwarded);
   out.RequestId = request.Head.RequestId;
-  out.IsStream =
-      request.Admitted->Route->Semantics == routing::ExecutionSemantics::Stream;
+  out.IsStream = request.isStream();
   out.MaxIdleConnections =
       Context.Dispatcher.maxConnectionsPerTarget(assignment.Pool);
   return out;
@@ -528,8 +519,7 @@
     responseStarted = true;
   };
   Exchange first(Context.TargetConnections, Context.ResponseBuffers,
-                 std::move(exchangeRequest), Writer,
-                 request.Events ? &*request.Events : nullptr);
+                 std::move(exchangeRequest), Writer, &request.Events);
   HedgedExchange exchange(first);
   HedgedAttempt hedge(Context, *request.Lifecycle, Writer);
   hedge.prepare(exchange, assignment, [this, &request](const Assignment &it) {
--- a/packages/gateway/src/stream_run.h
+++ b/packages/gateway/src/stream_run.h
@@ -13,8 +13,6 @@
 struct StreamRun {
   std::string RequestId;
   TargetId Target;
-  /// Id of the event after which it was to begin; empty for the first run.
-  std::string After;
   routing::ExchangeResult Result = routing::ExchangeResult::Broken;
   std::string Reason;
 };
--- a/packages/routing/src/event_stream_buffer.cpp
+++ b/packages/routing/src/event_stream_buffer.cpp
@@ -1,27 +1,19 @@
 #include "nutmegsill/routing/event_stream_buffer.h"
 
-#include <algorithm>
-
 namespace nutmegsill::routing {
 
-namespace {
-
-/// Longest id by which a stream is resumed.
-constexpr std::size_t MaxEventIdBytes = 1'024;
-
-/// Whether an id can be sent as the value of a header field.
-bool mayNameEvent(std::string_view id) {
-  return id.size() <= MaxEventIdBytes &&
-         std::none_of(id.begin(), id.end(), [](char c) {
-           const auto byte = static_cast<unsigned char>(c);
-           return byte < ' ' || byte == 0x7f;
-         });
+std::optional<std::size_t> EventBoundary::append(std::string_view part) {
+  std::optional<std::size_t> last;
+  std::size_t from = 0;
+  while (const std::optional<std::size_t> end =
+             appendEvent(part.substr(from))) {
+    from += *end;
+    last = from;
+  }
+  return last;
 }
 
-} // namespace
-
-std::optional<std::size_t> EventBoundary::append(std::string_view part) {
-  std::optional<std::size_t> end;
+std::optional<std::size_t> EventBoundary::appendEvent(std::string_view part) {
   for (std::size_t i = 0; i < part.size(); ++i) {
     const char c = part[i];
     const bool endsLine = c == '\n' || c == '\r';
@@ -31,8 +23,8 @@
     if (completesLineEnd) {
       // The only pending byte belongs to the line that ended the last event.
       if (PendingBytes == 1) {
-        end = i + 1;
         PendingBytes = 0;
+        return i + 1;
       }
       continue;
     }
@@ -42,26 +34,44 @@
     }
     AtLineStart = endsLine && !emptyLine;
     if (emptyLine) {
-      end = i + 1;
       PendingBytes = 0;
       HasEvent = HasEvent || InsideEvent;
       InsideEvent = false;
+      return i + 1;
     }
   }
-  return end;
+  return std::nullopt;
 }
 
 std::string EventStreamBuffer::append(std::string_view part) {
+  std::string complete;
+  while (!Fault) {
+    const std::optional<std::size_t> end = Boundary.appendEvent(part);
+    if (!end) {
+      Pending.append(part);
+      break;
+    }
+    Pending.append(part.substr(0, *end));
+    part.remove_prefix(*end);
+    Fault = Sequence.append(Pending);
+    if (!Fault) {
+      complete.append(Pending);
+    }
+    Pending.clear();
+  }
+  return complete;
+}
+
+std::string EventStreamBuffer::appendUnchecked(std::string_view part) {
+  Pending.append(part);
   const std::optional<std::size_t> end = Boundary.append(part);
   if (!end) {
-    Pending.append(part);
     return {};
   }
-  std::string complete = std::move(Pending);
-  complete.append(part.substr(0, *end));
-  Pending.assign(part.substr(*end));
-  recordEventId(complete);
-  return complete;
+  std::string rest = Pending.substr(Pending.size() - (part.size() - *end));
+  Pending.resize(Pending.size() - rest.size());
+  Pending.swap(rest);
+  return rest;
 }
 
 std::string EventStreamBuffer::takeIncomplete() {
@@ -71,35 +81,11 @@
   return out;
 }
 
-void EventStreamBuffer::recordEventId(std::string_view event) {
-  constexpr std::string_view field = "id:";
-  std::size_t at = 0;
-  while (at < event.size()) {
-    std::size_t end = event.find('\n', at);
-    if (end == std::string_view::npos) {
-      end = event.size();
-    }
-    std::string_view line = event.substr(at, end - at);
-    at = end + 1;
-    if (line.substr(0, field.size()) != field) {
-      continue;
-    }
-    line.remove_prefix(field.size());
-    if (!line.empty() && line.front() == ' ') {
-      line.remove_prefix(1);
-    }
-    if (!line.empty() && line.back() == '\r') {
-      line.remove_suffix(1);
-    }
-    if (mayNameEvent(line)) {
-      LastEventId.assign(line);
-      if (FirstEventId.empty()) {
-        FirstEventId = LastEventId;
-      }
-    } else {
-      LastEventId.clear();
-    }
-  }
+void EventStreamBuffer::beginRun() {
+  Pending.clear();
+  Boundary.reset();
+  Sequence.beginRun();
+  Fault.reset();
 }
 
 } // namespace nutmegsill::routing
--- a/packages/standins/src/target_standin.cpp
+++ b/packages/standins/src/target_standin.cpp
@@ -29,6 +29,16 @@
          request.body().find("deadly") != std::string::npos;
 }
 
+/// At least `bytes` of events that follow number `last`, which is updated.
+std::string shortEvents(std::uint64_t &last, std::size_t bytes) {
+  std::string text;
+  while (text.size() < bytes) {
+    text += "id: " + std::to_string(++last) +
+            "\ndata: " + std::string(200, 'x') + "\n\n";
+  }
+  return text;
+}
+
 std::string headerField(const ServerRequest &request, const char *name) {
   const auto it = request.find(name);
   return it == request.end() ? std::string() : std::string(it->value());
@@ -390,9 +400,6 @@
   case TargetMode::EndlessEvents:
     first += "Content-Type: text/event-stream\r\n\r\n";
     block.clear();
-    while (block.size() < blockBytes) {
-      block += "id: 1\ndata: " + std::string(200, 'x') + "\n\n";
-    }
     break;
   case TargetMode::EndlessChunkExtension:
     first += "Transfer-Encoding: chunked\r\n\r\n4;";
@@ -404,7 +411,11 @@
   }
   ++EndlessConnections;
   bool open = co_await exchange.sendBytes(std::move(first));
+  std::uint64_t event = 0;
   while (open) {
+    if (mode == TargetMode::EndlessEvents) {
+      block = shortEvents(event, blockBytes);
+    }
     EndlessBytesSent += block.size();
     open = co_await exchange.sendBytes(block);
   }
