Take a stream's end for complete only while its target lives

Callers got a short stream as a complete one when the process that served it was killed between two events: 105 of 105 streams without length and chunks, and 50 of 100 on a resumable route with a second target.

Cause: the system closes the connections of a killed process in due form if nothing is unread, and the end of the connection was taken for that of the stream.

Change: after the last events have been forwarded, and before the last chunk is written, the router waits 5 ms and connects to the target. If it does not accept within 100 ms, the run is broken ("stream ended with its target"): a resumable stream goes on at another target, any other ends incomplete. Only for streams without length and chunks; their end comes 5 ms later. A process that is replaced at its address within that time is not told from a living one.

gateway_unframed_stream_of_killed_process_is_broken and ..._is_resumed run a process that kills itself by SIGKILL, the first also with a router that is suspended for 0.5 s.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -3,19 +3,18 @@
 #include "clock.h"
 #include "nutmegsill/routing/acknowledgement_policy.h"
 #include "stream_forwarding.h"
+#include "target_probe.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 
 #include <array>
 
 namespace nutmegsill::gateway {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 using routing::ExchangeResult;
 
 namespace {
@@ -24,9 +23,6 @@
 constexpr milliseconds IdleTimeoutMargin{1'500};
 /// Idle timeout assumed for targets that state none.
 constexpr milliseconds DefaultIdleTimeout{3'000};
-/// Timeout for connecting to a target whose connection was lost; the system of
-/// a host that runs no process there refuses within a round trip.
-constexpr milliseconds ProbeTimeout{100};
 constexpr unsigned FirstRedirectStatus = 300;
 constexpr unsigned FirstServerErrorStatus = 500;
 
@@ -169,7 +165,8 @@
 
 asio::awaitable<void> Exchange::forwardStream(TargetResponse &reader) {
   StreamForwarding forwarding(reader, Writer, *Events, Buffers);
-  StreamEnd end = co_await forwarding.run(Request.OnProgress);
+  StreamEnd end =
+      co_await forwarding.run(Request.TargetEndpoint, Request.OnProgress);
   Outcome.CallerDisconnected = end.CallerDisconnected;
   Outcome.Result = end.Result;
   Outcome.Reason = std::move(end.Reason);
@@ -242,12 +239,8 @@
 }
 
 asio::awaitable<void> Exchange::probeLostTarget() {
-  beast::tcp_stream probe(co_await asio::this_coro::executor);
-  probe.expires_after(ProbeTimeout);
-  boost::system::error_code ec;
-  co_await probe.async_connect(Request.TargetEndpoint,
-                               asio::redirect_error(asio::use_awaitable, ec));
-  if (ec == asio::error::connection_refused) {
+  const ProbeResult result = co_await probeTarget(Request.TargetEndpoint);
+  if (result == ProbeResult::Refused) {
     Outcome.Result = ExchangeResult::TargetEnded;
     Outcome.Reason += ", target ended";
   }
--- a/packages/gateway/src/stream_forwarding.cpp
+++ b/packages/gateway/src/stream_forwarding.cpp
@@ -1,6 +1,7 @@
 #include "stream_forwarding.h"
 
 #include "nutmegsill/platform/headers.h"
+#include "target_probe.h"
 
 namespace nutmegsill::gateway {
 
@@ -81,7 +82,8 @@
 }
 
 asio::awaitable<StreamEnd>
-StreamForwarding::run(const std::function<void()> &onProgress) {
+StreamForwarding::run(TargetConnectionPool::Endpoint target,
+                      const std::function<void()> &onProgress) {
   for (;;) {
     const boost::system::error_code ec = co_await Response.readPart();
     if (ec) {
@@ -96,7 +98,7 @@
       onProgress();
     }
     const bool isWhole = isLast && !fault;
-    if (!isWhole) {
+    if (!isWhole || Response.endsWithConnection()) {
       const bool sent = co_await forward(events);
       if (!sent) {
         co_return callerDisconnected();
@@ -109,6 +111,12 @@
     if (!isLast) {
       continue;
     }
+    if (Response.endsWithConnection()) {
+      const bool accepts = co_await stillAccepts(target);
+      if (!accepts) {
+        co_return broken("stream ended with its target");
+      }
+    }
     events += Events.takeIncomplete();
     const bool sent = co_await finish(events);
     if (!sent) {
--- a/packages/gateway/src/stream_forwarding.h
+++ b/packages/gateway/src/stream_forwarding.h
@@ -31,10 +31,11 @@
                    routing::EventStreamBuffer &events, BufferBudget &buffers)
       : Response(response), Writer(writer), Events(events), Memory(buffers) {}
 
-  /// `onProgress` is called whenever the end of an event, or of the stream, has
-  /// arrived.
+  /// `target` is where the response comes from; `onProgress` is called whenever
+  /// the end of an event, or of the stream, has arrived.
   boost::asio::awaitable<StreamEnd>
-  run(const std::function<void()> &onProgress);
+  run(TargetConnectionPool::Endpoint target,
+      const std::function<void()> &onProgress);
 
 private:
   /// Returns what is wrong with the run after its last part.
--- a/packages/gateway/test/gateway_stream_order_test.cpp
+++ b/packages/gateway/test/gateway_stream_order_test.cpp
@@ -1,11 +1,14 @@
 // Order and completeness of streams over the runs that they are made of.
 #include "gateway_fixture.h"
+#include "killed_target.h"
 #include "raw_target.h"
 
+#include <csignal>
 #include <fstream>
 #include <map>
 #include <mutex>
 #include <sstream>
+#include <thread>
 
 namespace nutmegsill::standin {
 
@@ -18,8 +21,12 @@
   std::istringstream in(ids);
   std::string text;
   for (std::string id; in >> id;) {
-    text += id == "-" ? "data: unnamed\n\n"
-                      : "id: " + id + "\ndata: part " + id + "\n\n";
+    if (id == "-") {
+      text.append("data: unnamed\n\n");
+    } else {
+      text.append("id: ").append(id).append("\ndata: part ").append(id);
+      text.append("\n\n");
+    }
   }
   return text;
 }
@@ -64,6 +71,7 @@
     }
     std::string head = connection.head("200 OK") +
                        "Content-Type: text/event-stream\r\n"
+                       "Connection: close\r\n"
                        "Transfer-Encoding: chunked\r\n\r\n";
     co_await connection.send(std::move(head));
     if (run < Runs.size()) {
@@ -160,4 +168,64 @@
   CHECK(response.Body == eventsText("4 5"));
 }
 
+class GatewayKilledTargetFixture : protected GatewayStreamOrderFixture {
+protected:
+  GatewayKilledTargetFixture() {
+    writeTargetEntry(*FirstTarget, "ready", KilledAddress);
+  }
+  /// Sends requests, each to a process that is killed between two events of an
+  /// unframed stream; with `stopsRouter` the router is suspended meanwhile.
+  void sendToKilledTargets(const std::string &path, int streams,
+                           bool stopsRouter = false) {
+    for (int i = 0; i < streams; ++i) {
+      const KilledTarget killed(KilledAddress, eventsText("1 2 3"));
+      std::thread stop([this, stopsRouter] {
+        if (stopsRouter) {
+          std::this_thread::sleep_for(std::chrono::milliseconds(10));
+          RouterProcesses[0].signal(SIGSTOP);
+          std::this_thread::sleep_for(std::chrono::milliseconds(500));
+          RouterProcesses[0].signal(SIGCONT);
+        }
+      });
+      const RawResponse response =
+          sendStream(path, "id-" + std::to_string(++LastStream));
+      stop.join();
+      const bool isWhole = response.Body == eventsText("1 2 3 4 5");
+      const bool isShort = response.Body == eventsText("1 2 3");
+      WholeStreams += isWhole && response.Complete ? 1 : 0;
+      BrokenStreams += isShort && !response.Complete ? 1 : 0;
+      FalselyComplete += isShort && response.Complete ? 1 : 0;
+    }
+  }
+
+  const std::string KilledAddress = freeLoopbackAddress();
+  int WholeStreams = 0;
+  int BrokenStreams = 0;
+  int FalselyComplete = 0;
+
+private:
+  int LastStream = 0;
+};
+
+// Guards against the end of a killed process that is taken for a stream's end.
+TEST_CASE_METHOD(GatewayKilledTargetFixture,
+                 "gateway_unframed_stream_of_killed_process_is_broken") {
+  Store->erase("servers/" + SecondTarget->id());
+  startRouter();
+  const bool stopsRouter = GENERATE(false, true);
+  sendToKilledTargets("/stream/whole/a", stopsRouter ? 1 : 20, stopsRouter);
+  CHECK(FalselyComplete == 0);
+  CHECK(BrokenStreams > 0);
+}
+
+TEST_CASE_METHOD(GatewayKilledTargetFixture,
+                 "gateway_unframed_stream_of_killed_process_is_resumed") {
+  Runs = {"4 5"};
+  startRouter();
+  sendToKilledTargets("/stream/resumed/a", 20);
+  CHECK(FalselyComplete == 0);
+  CHECK(BrokenStreams == 0);
+  CHECK(WholeStreams > 0);
+}
+
 } // namespace nutmegsill::standin
