--- a/packages/gateway/src/served_request.h
+++ b/packages/gateway/src/served_request.h
@@ -24,8 +24,11 @@
   std::optional<routing::RequestLifecycle> Lifecycle;
   /// Time from the arrival to the first part of the response.
   std::optional<Duration> TimeToFirstPart;
-  std::optional<routing::EventStreamBuffer> Events;
+  routing::EventStreamBuffer Events;
 
+  bool isStream() const {
+    return Admitted->Route->Semantics == routing::ExecutionSemantics::Stream;
+  }
   /// Whether it goes on with a stream that its caller has a part of.
   bool takesUpStream() const;
 };
--- a/packages/gateway/src/session.cpp
+++ b/packages/gateway/src/session.cpp
@@ -7,6 +7,7 @@
 #include "request_log.h"
 #include "request_reader.h"
 #include "served_request.h"
+#include "stream_run.h"
 #include "stream_take_up.h"
 #include "target_request.h"
 #include "traffic_server.h"
@@ -28,7 +29,6 @@
 using routing::Assignment;
 using routing::ExchangeResult;
 using routing::LocalResponse;
-using routing::RouteRule;
 
 namespace {
 
@@ -367,9 +367,8 @@
   Context.Dispatcher.recordRequest(request.Lifecycle->dispatchRequest(),
                                    request.ArrivedAt);
   Context.Hedges.recordRequest(request.Admitted->Pool, request.ArrivedAt);
-  const RouteRule &route = *request.Admitted->Route;
-  if (route.isResumableStream()) {
-    request.Events.emplace();
+  if (request.Admitted->Route->isResumableStream()) {
+    request.Events = routing::EventStreamBuffer(request.Head.LastEventId);
     const std::optional<routing::StreamKey> key = streamKeyOf(request);
     if (key) {
       request.Lifecycle->keepOrigin(*key, request.Head.Timeout);
@@ -429,6 +428,12 @@
       break;
     }
     outcome = co_await attempt(request, *assignment);
+    if (request.isStream() && outcome.RequestSent) {
+      recordStreamRun(Context.Counters,
+                      {request.Head.RequestId, assignment->Target,
+                       outcome.Result, outcome.Reason},
+                      request.Events);
+    }
     routing::AttemptOutcome attemptOutcome;
     attemptOutcome.Result = outcome.Result;
     attemptOutcome.RequestSent = outcome.RequestSent;
@@ -436,17 +441,14 @@
                                CancelledBy == CancelCause::TimeLimit ||
                                outcome.CallerDisconnected;
     attemptOutcome.ResponseStarted = Writer.hasStarted();
-    attemptOutcome.MayResume =
-        request.Events && !request.Events->lastEventId().empty();
+    attemptOutcome.MayResume = !request.Events.lastEventId().empty();
     attemptOutcome.Reason = outcome.Reason;
     const bool mayRetry = lifecycle.finishAttempt(
         Context.Dispatcher, *assignment, attemptOutcome, bootTimeNow());
     if (!mayRetry) {
       break;
     }
-    if (request.Events) {
-      request.Events->dropIncomplete();
-    }
+    request.Events.beginRun();
   }
   lifecycle.releaseReserved(Context.Dispatcher, bootTimeNow());
   if (lifecycle.endWait(Context.Dispatcher)) {
@@ -480,13 +482,10 @@
   forwarded.Team = request.Admitted->Team;
   forwarded.RemainingTime = milliseconds(std::max<std::int64_t>(
       1, toMilliseconds(request.Lifecycle->remainingTime(bootTimeNow()))));
-  if (request.Events) {
-    forwarded.LastEventId = request.Events->lastEventId();
-  }
+  forwarded.LastEventId = request.Events.lastEventId();
   ExchangeRequest out = makeTargetRequest(request.Message, forwarded);
   out.RequestId = request.Head.RequestId;
-  out.IsStream =
-      request.Admitted->Route->Semantics == routing::ExecutionSemantics::Stream;
+  out.IsStream = request.isStream();
   out.MaxIdleConnections =
       Context.Dispatcher.maxConnectionsPerTarget(assignment.Pool);
   return out;
@@ -545,8 +544,7 @@
     responseStarted = true;
   };
   Exchange first(Context.TargetConnections, Context.ResponseBuffers,
-                 std::move(exchangeRequest), Writer,
-                 request.Events ? &*request.Events : nullptr);
+                 std::move(exchangeRequest), Writer, &request.Events);
   HedgedExchange exchange(first);
   HedgedAttempt hedge(Context, *request.Lifecycle, Writer);
   hedge.prepare(exchange, assignment, [this, &request](const Assignment &it) {
--- a/packages/process/src/metrics.cpp
+++ b/packages/process/src/metrics.cpp
@@ -72,6 +72,8 @@
                                "Second attempts beside slow first ones")),
         TakeUps(registerCounter(*Registry, "nutmegsill_take_ups_total",
                                 "Requests that take a stream up again")),
+        StreamRuns(registerCounter(*Registry, "nutmegsill_stream_runs_total",
+                                   "Runs of streams at targets")),
         CallerRefusals(registerCounter(
             *Registry, "nutmegsill_callers_limited_total",
             "Callers that were refused or closed for a limit of the router")),
@@ -124,6 +126,7 @@
   Family<Counter> &PlaceWaits;
   Family<Counter> &Hedges;
   Family<Counter> &TakeUps;
+  Family<Counter> &StreamRuns;
   Family<Counter> &CallerRefusals;
   Gauge &CallerMemory;
   Family<Histogram> &RequestLatency;
@@ -230,6 +233,10 @@
   Impl->TakeUps.Add({{"outcome", outcome}}).Increment();
 }
 
+void Metrics::countStreamRun(const std::string &run, const std::string &end) {
+  Impl->StreamRuns.Add({{"run", run}, {"end", end}}).Increment();
+}
+
 void Metrics::countPlaceWait(const std::string &outcome) {
   Impl->PlaceWaits.Add({{"outcome", outcome}}).Increment();
 }
--- a/packages/process/src/metrics.h
+++ b/packages/process/src/metrics.h
@@ -52,6 +52,9 @@
   void countPlaceWait(const std::string &outcome);
   /// Counts a request that takes a stream up again, by how it ended.
   void countTakeUp(const std::string &outcome);
+  /// Counts a run of a stream at a target, "begun" or "resumed", by how it
+  /// ended.
+  void countStreamRun(const std::string &run, const std::string &end);
   /// Counts a caller at `port` that was refused or closed for a limit of the
   /// router.
   void countCallerRefusal(const std::string &port, const std::string &reason);
