--- a/packages/gateway/src/origin_inquiries.h
+++ b/packages/gateway/src/origin_inquiries.h
@@ -41,6 +41,10 @@
     std::set<HostId> Awaited;
     routing::OriginDecision Decision;
     boost::asio::steady_timer &Timer;
+    bool Cancelled = false;
+
+    /// Nothing is awaited any more.
+    bool isDone() const;
   };
   Sender Send;
   /// Late answers to an earlier process of this host have other numbers.
--- a/packages/gateway/src/stream_take_up.cpp
+++ b/packages/gateway/src/stream_take_up.cpp
@@ -45,8 +45,8 @@
   const routing::ReportRecipients &recipients =
       Context.Dispatcher.reportRecipients();
   std::vector<HostId> peers = recipients.GroupPeers;
-  peers.insert(peers.end(), recipients.RemotePeers.begin(),
-               recipients.RemotePeers.end());
+  peers.insert(peers.end(), recipients.AskedPeers.begin(),
+               recipients.AskedPeers.end());
   Question = Context.Inquiries.nextNumber();
   const routing::OriginQuestion question{*Question, key, admitted.Route->Name,
                                          admitted.Pool};
