--- a/packages/gateway/test/gateway_stream_versions_test.cpp
+++ b/packages/gateway/test/gateway_stream_versions_test.cpp
@@ -59,7 +59,7 @@
   }
   /// Begins a stream that breaks off; returns its id.
   std::string begin(std::size_t router) {
-    const std::string id = nextId();
+    std::string id = nextId();
     const RawResponse response = send(router, id);
     CAPTURE(id, response.Status, response.Body);
     CHECK(response.Status == 200);
@@ -67,6 +67,13 @@
     CHECK(versionsOf(id).size() == 1);
     return id;
   }
+  std::vector<std::string> beginStreams(std::size_t router) {
+    std::vector<std::string> out(StreamsPerTest);
+    for (std::string &it : out) {
+      it = begin(router);
+    }
+    return out;
+  }
   /// Begins streams until one is of the version "v1"; returns its id.
   std::string beginAtFirstVersion(std::size_t router) {
     std::string id;
@@ -208,10 +215,7 @@
                  "gateway_take_up_after_kill_of_its_router_goes_on") {
   startRouter();
   startRouter();
-  std::vector<std::string> ids;
-  for (int i = 0; i < StreamsPerTest; ++i) {
-    ids.push_back(begin(0));
-  }
+  const std::vector<std::string> ids = beginStreams(0);
   setModes(TargetMode::Serving);
   waitForRouters();
   RouterProcesses[0].kill();
@@ -246,10 +250,7 @@
 TEST_CASE_METHOD(GatewayStreamVersionsFixture,
                  "gateway_router_that_has_started_asks_who_began_stream") {
   startRouter();
-  std::vector<std::string> ids;
-  for (int i = 0; i < StreamsPerTest; ++i) {
-    ids.push_back(begin(0));
-  }
+  const std::vector<std::string> ids = beginStreams(0);
   setModes(TargetMode::Serving);
   waitForRouters();
   startRouter();
