Take the age of the fleet's state before the state itself

A router could take the age of a newer view for that of the one it knows, and so prove of a pool that it has one version when another has just appeared. Cause: the control thread published the age before the view, and the traffic thread read them in the other order. Found by reading. Change: view first, then age; read the other way round. Result: the router compiles and seven cases of gateway_stream_versions_test pass (283 assertions); no test shows the race.

--- a/packages/gateway/src/store_watcher.cpp
+++ b/packages/gateway/src/store_watcher.cpp
@@ -346,19 +346,17 @@
     Counters.countFleetChange(it.Event);
     logLine("belief", it.Event, it.Fields);
   }
+  std::shared_ptr<const FleetView> newest =
+      State.isComplete() ? State.view() : View;
+  if (newest != View) {
+    View = newest;
+    Handlers.OnView(View);
+    Shared.setView(std::move(newest));
+  }
+  // After the view: its age must not be taken for that of an earlier one.
   if (Link.currentAsOf()) {
     Shared.setCurrentAsOf(*Link.currentAsOf());
   }
-  if (!State.isComplete()) {
-    return;
-  }
-  std::shared_ptr<const FleetView> newest = State.view();
-  if (newest == View) {
-    return;
-  }
-  View = newest;
-  Handlers.OnView(View);
-  Shared.setView(std::move(newest));
 }
 
 } // namespace nutmegsill::gateway
--- a/packages/gateway/src/traffic_server.cpp
+++ b/packages/gateway/src/traffic_server.cpp
@@ -206,6 +206,7 @@
     co_await timer.async_wait(asio::use_awaitable);
     const Time now = bootTimeNow();
     Context.TargetConnections.closeExpired(now);
+    const Duration viewAge = Context.Shared.configAge(now);
     if (!Context.refreshView(now)) {
       continue;
     }
@@ -225,8 +226,7 @@
           now + intervals.ToRemotePeers - intervals.ToGroup / 2;
     }
     Context.Dispatcher.rollouts().setStoreAge(Context.Shared.configAge(now));
-    Context.Dispatcher.streamOrigins().setViewAge(Context.Shared.configAge(now),
-                                                  now);
+    Context.Dispatcher.streamOrigins().setViewAge(viewAge, now);
     routing::OutgoingReports reports =
         Context.Dispatcher.collectReports(now, forRemotePeers);
     for (const routing::FleetChange &it : Context.Dispatcher.takeChanges()) {
