Soak: targets of two versions, take-ups by callers, kills of all routers, torn uploads

Callers saw streams joined from two versions of the software, and parts of responses to uploads as whole ones; the soak test could show neither: its targets run one version, its callers never take a stream up, its routers are killed one by one, and no target responds before an upload has been written.

Change: two targets of each of two versions, which drain, are removed or killed and come back with the other version, at the same address and with the same or a new id; callers break resumable streams off or lose them, and take them up at any router; all routers are killed at once; faults come in series; a third of the callers keep their connections. New checks: two streams of two versions a run at most, ids of events over a caller's attempts, the last event of a complete stream, torn uploads, 408 and 421 as "not run", and the share of take-ups that go on. The entry of a stand-in can state when its process started, and its events can name its version; the defaults are unchanged.

--- a/packages/soak/src/main.cpp
+++ b/packages/soak/src/main.cpp
@@ -16,11 +16,11 @@
 /// hung watches are renewed within it.
 constexpr milliseconds RecoveryTime{3'000};
 constexpr milliseconds ObservationTime{2'000};
-constexpr std::size_t CallerCount = 12;
 
 /// True when no invariant was violated.
 bool runSeed(const std::string &program, std::uint64_t seed,
-             milliseconds faultDuration, std::size_t routers) {
+             milliseconds faultDuration, std::size_t routers,
+             std::size_t callerCount) {
   SoakFleet fleet(program, routers);
   if (!fleet.isReady()) {
     std::cout << "seed " << seed
@@ -28,16 +28,19 @@
               << fleet.tempDir() << "\n";
     return false;
   }
-  SoakCallers callers(fleet, seed, CallerCount);
+  SoakCallers callers(fleet, seed, callerCount);
   const FaultLog faults = injectFaults(fleet, seed, faultDuration);
   std::this_thread::sleep_for(RecoveryTime);
   const SoakTime recoveredAt = std::chrono::steady_clock::now();
   std::this_thread::sleep_for(ObservationTime);
   const std::vector<CallRecord> calls = callers.stop();
-  const std::vector<std::string> violations =
-      checkInvariants(fleet, calls, faults, recoveredAt);
+  const SoakResult result = checkInvariants(fleet, calls, faults, recoveredAt);
+  const std::vector<std::string> &violations = result.Violations;
   std::cout << "seed " << seed << ": " << calls.size() << " calls, "
-            << faults.Events.size() << " fault events, " << violations.size()
+            << faults.Events.size() << " fault events, "
+            << result.MixedStreams.size() << " streams of two versions, "
+            << result.WentOn << " of " << result.TakenUp
+            << " take-ups went on after recovery, " << violations.size()
             << " violations\n";
   for (const std::string &it : violations) {
     std::cout << "  " << it << "\n";
@@ -65,7 +68,9 @@
       "seconds", "duration of the faults for each seed, in seconds",
       cxxopts::value<int>()->default_value("10"))(
       "routers", "number of routers",
-      cxxopts::value<std::size_t>()->default_value("4"));
+      cxxopts::value<std::size_t>()->default_value("4"))(
+      "callers", "number of callers",
+      cxxopts::value<std::size_t>()->default_value("12"));
   try {
     const cxxopts::ParseResult parsed = options.parse(argc, argv);
     const std::uint64_t first = parsed["seed"].as<std::uint64_t>();
@@ -75,7 +80,8 @@
     for (std::uint64_t i = 0; i < parsed["seeds"].as<std::uint64_t>(); ++i) {
       const bool seedPassed =
           runSeed(parsed["router"].as<std::string>(), first + i, faultDuration,
-                  parsed["routers"].as<std::size_t>());
+                  parsed["routers"].as<std::size_t>(),
+                  parsed["callers"].as<std::size_t>());
       passed = passed && seedPassed;
     }
     return passed ? 0 : ExitViolations;
--- a/packages/soak/src/soak_faults.cpp
+++ b/packages/soak/src/soak_faults.cpp
@@ -1,6 +1,7 @@
 #include "soak_faults.h"
 
 #include <csignal>
+#include <iterator>
 #include <map>
 
 namespace nutmegsill::soak {
@@ -14,6 +15,14 @@
 constexpr milliseconds MinFaultGap{60};
 constexpr milliseconds MaxFaultGap{300};
 constexpr milliseconds MaxFaultDuration{2'000};
+/// Time between changes of many processes: the shortest, and its random part in
+/// milliseconds.
+constexpr milliseconds MinChangeGap{300};
+constexpr std::uint64_t ChangeGapRange = 900;
+constexpr std::uint64_t MaxSeries = 6;
+/// Longest time for which all routers or the targets of a version are away, in
+/// milliseconds.
+constexpr std::uint64_t MaxAbsence = 700;
 /// Stop grace of the routers' settings, 6 s, and 1 s to notice the exit.
 constexpr milliseconds StopTimeout{7'000};
 /// Time for a router to install its signal handlers; before that, a signal ends
@@ -25,7 +34,7 @@
 class FaultInjector {
 public:
   FaultInjector(SoakFleet &fleet, std::uint64_t seed)
-      : Fleet(fleet), Random(seed), Start(now()) {
+      : Fleet(fleet), Random(seed), ChangeRandom(~seed), Start(now()) {
     Fleet.writeConfig(BothKeysJson);
   }
 
@@ -34,6 +43,11 @@
     while (now() < deadline) {
       runDueUndos(now());
       injectRandomFault();
+      if (now() >= NextChange) {
+        changeFleet();
+        NextChange = now() + MinChangeGap +
+                     milliseconds(ChangeRandom() % ChangeGapRange);
+      }
       std::this_thread::sleep_for(randomBetween(MinFaultGap, MaxFaultGap));
     }
     undoAllFaults();
@@ -106,6 +120,66 @@
     }
   }
 
+  /// Changes many processes at once, or injects faults in a series.
+  void changeFleet() {
+    switch (ChangeRandom() % 4) {
+    case 0:
+      return killAllRouters();
+    case 1:
+      return changeVersion();
+    case 2:
+      changeVersion();
+      return killAllRouters();
+    default:
+      for (std::uint64_t i = ChangeRandom() % MaxSeries; i > 0; --i) {
+        injectRandomFault();
+      }
+    }
+  }
+  void killAllRouters() {
+    const SoakTime restartAt =
+        now() + milliseconds(ChangeRandom() % MaxAbsence);
+    for (std::size_t i = 0; i < Fleet.routerCount(); ++i) {
+      const std::string name = "router " + std::to_string(i);
+      if (!hasPendingUndo(name)) {
+        killRouter(i, name);
+        PendingUndos[name].first = restartAt;
+      }
+    }
+  }
+  /// The targets of one version, or half of them if all run it, leave and come
+  /// back with the other version.
+  void changeVersion() {
+    const std::string name = "change of version";
+    if (hasPendingUndo(name)) {
+      return;
+    }
+    std::size_t version = ChangeRandom() % SoakFleet::versions().size();
+    std::set<std::size_t> leaving = Fleet.targetsOfVersion(version);
+    if (leaving.empty()) {
+      version = 1 - version;
+      leaving = Fleet.targetsOfVersion(version);
+    }
+    if (leaving.size() > SoakFleet::TargetsPerVersion) {
+      leaving.erase(leaving.begin(),
+                    std::next(leaving.begin(), SoakFleet::TargetsPerVersion));
+    }
+    const std::uint64_t way = ChangeRandom() % 4;
+    logEvent(std::to_string(leaving.size()) + " targets leave " +
+             SoakFleet::versions()[version] + ", way " + std::to_string(way));
+    if (way == 0) {
+      Fleet.drainTargets(leaving);
+    } else if (way == 1 || way == 2) {
+      Fleet.removeTargets(leaving, way == 2);
+    }
+    // Way 3 replaces the processes at once.
+    PendingUndos[name] = {
+        now() + milliseconds(way == 3 ? 0 : ChangeRandom() % MaxAbsence),
+        [this, leaving, version, keepIds = ChangeRandom() % 2 == 0] {
+          Fleet.replaceTargets(leaving, 1 - version, keepIds);
+        }};
+  }
+
   bool hasPendingUndo(const std::string &name) const {
     return PendingUndos.count(name) > 0 ||
            PendingUndos.count(name + " unavailable") > 0;
@@ -232,10 +306,17 @@
     if (TemporaryKeyRemoved) {
       toggleTemporaryKey();
     }
+    if (Fleet.targetsOfVersion(0).size() != SoakFleet::TargetsPerVersion) {
+      changeVersion();
+      undoAllFaults();
+    }
   }
 
   SoakFleet &Fleet;
   std::mt19937_64 Random;
+  /// Selects the changes of many processes at once.
+  std::mt19937_64 ChangeRandom;
+  SoakTime NextChange;
   SoakTime Start;
   FaultLog Log;
   bool TemporaryKeyRemoved = false;
--- a/packages/soak/src/soak_fleet.h
+++ b/packages/soak/src/soak_fleet.h
@@ -4,6 +4,7 @@
 
 #include "fault_proxy.h"
 #include "local_fleet.h"
+#include "raw_target.h"
 
 #include <memory>
 #include <mutex>
@@ -13,9 +14,16 @@
 
 namespace nutmegsill::soak {
 
-/// Thread-safe after construction.
+/// Thread-safe after construction, except for the targets: only the thread that
+/// injects faults uses them before the callers have stopped.
 class SoakFleet {
 public:
+  /// Targets of each of the two versions at the start and after the faults.
+  static constexpr std::size_t TargetsPerVersion = 2;
+  static const std::vector<std::string> &versions();
+  /// More than the system's buffers between a router and a target hold.
+  static constexpr std::size_t UploadBytes = 4'000'000;
+
   SoakFleet(const std::string &program, std::size_t routers);
 
   /// True when each router was ready within 5 s of its first start.
@@ -31,7 +39,10 @@
   /// returns none.
   std::vector<std::string> resolveRouters(std::size_t router);
   standin::StoreStandin &store() { return *Fleet.Store; }
-  std::vector<standin::TargetStandin *> targets();
+  /// Targets that run, and with `ended` the processes before them.
+  std::vector<standin::TargetStandin *> targets(bool ended = false);
+  /// Targets that run `versions()[version]`.
+  std::set<std::size_t> targetsOfVersion(std::size_t version) const;
   FaultProxy &storeProxy(std::size_t router) { return *StoreProxies[router]; }
   FaultProxy &targetProxy(std::size_t target) { return *TargetProxies[target]; }
 
@@ -43,15 +54,40 @@
                                    std::chrono::milliseconds timeout);
   void restartRouter(std::size_t router);
 
-  /// Writes the entries of all targets to the store: targets whose index is in
-  /// `draining` with the state "draining", all other targets with "ready".
+  /// Writes the entries of all targets that have not been removed: "draining"
+  /// for those whose index is in `draining` and those that leave, "ready" for
+  /// all others.
   void writeTargetEntries(const std::set<std::size_t> &draining);
+  /// The targets drain until `replaceTargets`.
+  void drainTargets(const std::set<std::size_t> &leaving);
+  /// Removes the entries of the targets until `replaceTargets`, and `ends` the
+  /// processes.
+  void removeTargets(const std::set<std::size_t> &leaving, bool ends);
+  /// Ends the targets and starts others at their addresses, which run
+  /// `versions()[version]`; with `keepIds`, they keep their ids.
+  void replaceTargets(const std::set<std::size_t> &leaving, std::size_t version,
+                      bool keepIds);
   /// Writes a configuration with the next version; `apiKeysJson` holds the
   /// elements of the team's JSON list of keys.
   void writeConfig(const std::string &apiKeysJson);
 
 private:
+  std::unique_ptr<standin::TargetStandin>
+  startTarget(const std::string &id, const std::string &address,
+              std::size_t version);
+
   standin::LocalFleet Fleet;
+  std::vector<std::unique_ptr<standin::TargetStandin>> Targets;
+  /// Index in `versions()` for each target.
+  std::vector<std::size_t> TargetVersions;
+  std::vector<std::unique_ptr<standin::TargetStandin>> EndedTargets;
+  std::set<std::size_t> Draining;
+  std::set<std::size_t> Removed;
+  std::int64_t LastStart = 0;
+  /// Has the entry of `TornTarget`.
+  standin::TargetStandin TornTargetEntry;
+  /// Tears each response while its request is written.
+  standin::RawTarget TornTarget;
   std::vector<std::unique_ptr<FaultProxy>> StoreProxies;
   std::vector<std::unique_ptr<FaultProxy>> TargetProxies;
   std::mutex Mutex;
--- a/packages/standins/src/local_fleet.cpp
+++ b/packages/standins/src/local_fleet.cpp
@@ -33,7 +33,8 @@
 
 std::string LocalFleet::configText(std::uint64_t version,
                                    const std::string &apiKeysJson,
-                                   const std::string &buyPool) {
+                                   const std::string &buyPool,
+                                   std::size_t uploadBytes) {
   const auto route = [](const std::string &name, const std::string &kind,
                         int attempts, const std::string &extraMembers,
                         const std::string &pool = "desk") {
@@ -55,10 +56,16 @@
          route("stream/whole", "stream", 1, R"(,"sticky":true)") + "," +
          route("stream/resumed", "stream", 2,
                R"(,"sticky":true,"resumable":true)") +
+         (uploadBytes == 0
+              ? ""
+              : "," + route("upload", "safe", 2, R"(,"public":true)", "torn")) +
          R"(],"services":[)" + service("desk") +
          (buyPool == "desk" ? "" : "," + service(buyPool)) +
+         (uploadBytes == 0 ? "" : "," + service("torn")) +
          R"(],)"
-         R"("limits":{"max-header-bytes":16384,"max-body-bytes":65536,)"
+         R"("limits":{"max-header-bytes":16384,"max-body-bytes":)" +
+         std::to_string(uploadBytes == 0 ? 65'536 : uploadBytes) +
+         R"(,)"
          R"("header-timeout-ms":3000,"idle-timeout-ms":15000},)"
          R"("tenants":[{"name":"prints","api-keys":[)" +
          apiKeysJson + "]}]}";
@@ -70,6 +77,10 @@
   Store->put("servers/" + target.id(), target.entryJson(state, address));
 }
 
+void LocalFleet::eraseTargetEntry(const TargetStandin &target) {
+  Store->erase("servers/" + target.id());
+}
+
 void LocalFleet::writeConfig(const std::string &text) {
   Store->put("op/config", text);
 }
--- a/packages/standins/src/local_fleet.h
+++ b/packages/standins/src/local_fleet.h
@@ -40,16 +40,19 @@
   void restartRouter(std::size_t index);
   /// Configuration that routes "/buy/" to `buyPool` and all other paths to
   /// "desk". `apiKeysJson` holds the elements of the team's JSON list of
-  /// keys.
+  /// keys. Unless `uploadBytes` is 0, bodies may have as many bytes, and
+  /// "/upload/" is routed to "torn".
   static std::string
   configText(std::uint64_t version,
              const std::string &apiKeysJson = "\"key-prints\"",
-             const std::string &buyPool = "desk");
+             const std::string &buyPool = "desk", std::size_t uploadBytes = 0);
   /// Writes a target's entry to the store. A non-empty `address` replaces the
   /// target's own address.
   void writeTargetEntry(const TargetStandin &target,
                         const std::string &state = "ready",
                         const std::string &address = "");
+  /// Removes a target's entry from the store.
+  void eraseTargetEntry(const TargetStandin &target);
   /// Writes the operators' configuration to the store.
   void writeConfig(const std::string &text);
   /// Sends a GET request to `address` ("IP:port") on a new connection.
--- a/packages/standins/src/raw_caller.cpp
+++ b/packages/standins/src/raw_caller.cpp
@@ -18,6 +18,13 @@
   return it == HeaderFields.end() ? std::string() : it->second;
 }
 
+std::chrono::milliseconds RawResponse::retryAfter() const {
+  const std::string seconds = headerField("Retry-After");
+  return std::chrono::milliseconds(
+      seconds.empty() ? 0
+                      : static_cast<std::int64_t>(std::stod(seconds) * 1'000));
+}
+
 struct RawCaller::Implementation {
   asio::io_context Io;
   beast::tcp_stream Stream{Io};
@@ -32,7 +39,8 @@
 
 RawCaller::~RawCaller() = default;
 
-RawResponse RawCaller::exchange(const std::string &bytes) {
+RawResponse RawCaller::exchange(const std::string &bytes,
+                                std::size_t maxBodyBytes) {
   constexpr timeval receiveTimeout{15, 0};
   ::setsockopt(Impl->Stream.socket().native_handle(), SOL_SOCKET, SO_RCVTIMEO,
                &receiveTimeout, sizeof(receiveTimeout));
@@ -40,8 +48,9 @@
   asio::write(Impl->Stream.socket(), asio::buffer(bytes), ec);
   RawResponse response;
   http::response_parser<http::string_body> parser;
-  if (!ec) {
-    http::read(Impl->Stream.socket(), Impl->Buffer, parser, ec);
+  while (!ec && !parser.is_done() &&
+         parser.get().body().size() < maxBodyBytes) {
+    http::read_some(Impl->Stream.socket(), Impl->Buffer, parser, ec);
   }
   if (parser.is_header_done()) {
     response.Status = parser.get().result_int();
@@ -93,7 +102,7 @@
   const std::string body = request.Method == "GET" ? "" : request.Body;
   text += request.ExtraHeaderFields;
   text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  return exchange(text);
+  return exchange(text, request.MaxBodyBytes);
 }
 
 } // namespace nutmegsill::standin
--- a/packages/standins/src/raw_caller.h
+++ b/packages/standins/src/raw_caller.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,6 +22,8 @@
   /// Value of a header field; empty when the field is absent. `name` must match
   /// the received name including its case.
   std::string headerField(const std::string &name) const;
+  /// Time that the response asks its caller to wait; 0 if it does not.
+  std::chrono::milliseconds retryAfter() const;
 };
 
 /// A request. Its header also holds "Deadline-Ms: 4000" and, when the path
@@ -34,6 +38,8 @@
   std::string Body = "a request";
   /// Complete header lines, each with its line end.
   std::string ExtraHeaderFields;
+  /// The caller stops reading when it has so many bytes of the body.
+  std::size_t MaxBodyBytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// One connection to a router.
@@ -46,7 +52,9 @@
   /// Sends the request and reads the response.
   RawResponse send(const RawRequest &request);
   /// Sends bytes unchanged and reads one response.
-  RawResponse exchange(const std::string &bytes);
+  RawResponse
+  exchange(const std::string &bytes,
+           std::size_t maxBodyBytes = std::numeric_limits<std::size_t>::max());
   /// Sends bytes without waiting for a response.
   void write(const std::string &bytes);
   /// Whether the router closes the connection within `timeout` without sending
--- a/packages/standins/src/target_standin.cpp
+++ b/packages/standins/src/target_standin.cpp
@@ -40,15 +40,20 @@
                              std::string address)
     : Id(std::move(id)), Service(std::move(service)),
       Address(std::move(address)) {
-  serveHttp(Io, Address, [this](ServerExchange &exchange) {
+  serveHttp(*Io, Address, [this](ServerExchange &exchange) {
     return handleRequest(exchange);
   });
-  Thread = std::thread([this] { Io.run(); });
+  Thread = std::thread([this] { Io->run(); });
 }
 
-TargetStandin::~TargetStandin() {
-  Io.stop();
-  Thread.join();
+TargetStandin::~TargetStandin() { end(); }
+
+void TargetStandin::end() {
+  if (Io) {
+    Io->stop();
+    Thread.join();
+    Io.reset();
+  }
 }
 
 void TargetStandin::setMode(TargetMode mode) {
@@ -99,21 +104,28 @@
       {"zone", "zone-a"},   {"version", Version},
       {"slots", 6},         {"state", state},
       {"cold-left-ms", 0},  {"seq", 1},
-      {"born", 1}}
+      {"born", StartedAtMs}}
       .dump();
 }
 
-std::string TargetStandin::streamBody(int firstEvent) {
+std::string TargetStandin::streamBody(int firstEvent,
+                                      const std::string &suffix) {
   std::string text;
   for (int i = firstEvent; i <= EventsPerStream; ++i) {
-    text += eventText(i);
+    text += eventText(i, suffix);
   }
   return text;
 }
 
-std::string TargetStandin::eventText(int number) {
+std::string TargetStandin::eventText(int number, const std::string &suffix) {
   const std::string text = std::to_string(number);
-  return "id: " + text + "\ndata: part " + text + "\n\n";
+  return "id: " + text + "\ndata: part " + text + suffix + "\n\n";
+}
+
+std::string TargetStandin::takeUpFields(const std::string &requestId,
+                                        int lastEvent) {
+  return "Resumes: " + requestId +
+         "\r\nLast-Event-Id: " + std::to_string(lastEvent) + "\r\n";
 }
 
 std::string TargetStandin::jsonAnswer() { return R"({"answer":1})"; }
@@ -172,7 +184,7 @@
     co_await exchange.sleep(HangDuration);
   } else if (mode == TargetMode::Ending && isDeadly(exchange.Request)) {
     Ended = true;
-    Io.stop();
+    Io->stop();
     co_await exchange.sleep(HangDuration);
   } else if (mode >= TargetMode::EndlessHeader) {
     co_await sendEndlessly(exchange, received, mode);
@@ -286,7 +298,7 @@
   const int firstEvent =
       received.LastEventId.empty() ? 1 : std::stoi(received.LastEventId) + 1;
   for (int i = firstEvent; i <= EventCount; ++i) {
-    const std::string event = eventText(i);
+    const std::string event = eventText(i, EventSuffix);
     const bool breaksOff =
         mode == TargetMode::TruncatingStreams || spoilsResumed;
     if (breaksOff && i == 3) {
@@ -318,8 +330,8 @@
   std::string body = jsonAnswer();
   if (mode == TargetMode::SizedStreamsCutInEvent) {
     type = "text/event-stream";
-    body = streamBody(1);
-    body.resize(body.size() - streamBody(3).size() + 4);
+    body = streamBody(1, EventSuffix);
+    body.resize(body.size() - streamBody(3, EventSuffix).size() + 4);
   }
   co_await exchange.sendBytes(
       responseHead(received, 200, mode) + "Content-Type: " + type +
@@ -332,13 +344,13 @@
                                   TargetMode mode) {
   const int firstEvent =
       received.LastEventId.empty() ? 1 : std::stoi(received.LastEventId) + 1;
-  std::string body = streamBody(firstEvent);
+  std::string body = streamBody(firstEvent, EventSuffix);
   if (mode == TargetMode::UnframedStreamsCutInEvent) {
-    body.resize(body.size() - streamBody(3).size() + 4);
+    body.resize(body.size() - streamBody(3, EventSuffix).size() + 4);
   } else if (mode == TargetMode::UnframedStreamsWithoutEvent) {
     body.clear();
   } else if (mode == TargetMode::UnframedStreamsReset) {
-    body.resize(body.size() - streamBody(3).size());
+    body.resize(body.size() - streamBody(3, EventSuffix).size());
   }
   co_await exchange.sendBytes(responseHead(received, 200, mode) +
                               "Content-Type: text/event-stream\r\n"
--- a/packages/standins/src/target_standin.h
+++ b/packages/standins/src/target_standin.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -112,6 +113,15 @@
   void setMode(TargetMode mode);
   /// Sets the version in the target's entry; call before `entryJson`.
   void setVersion(std::string version) { Version = std::move(version); }
+  /// Sets when the process started, in the target's entry; call before
+  /// `entryJson`.
+  void setStartedAtMs(std::int64_t at) { StartedAtMs = at; }
+  /// Lets the events of streams name the version. Call before the first
+  /// request.
+  void nameVersionInEvents() { EventSuffix = versionSuffix(Version); }
+  /// Ends the process: its connections and its listening socket close. What it
+  /// received stays.
+  void end();
   /// Sets header lines of all responses, each with its line end; 421 does not
   /// get them.
   void setResponseFields(std::string lines);
@@ -145,8 +155,16 @@
   static constexpr int EventsPerStream = 8;
   /// Body of a stream that starts with event number `firstEvent`; the first
   /// event is number 1.
-  static std::string streamBody(int firstEvent);
-  static std::string eventText(int number);
+  static std::string streamBody(int firstEvent, const std::string &suffix = "");
+  /// `suffix` ends the event's data.
+  static std::string eventText(int number, const std::string &suffix = "");
+  /// Suffix of the events that name `version`.
+  static std::string versionSuffix(const std::string &version) {
+    return " of " + version;
+  }
+  /// Header lines of a caller that takes a stream up: the id of the request
+  /// that brought its first event, and the number of the last one.
+  static std::string takeUpFields(const std::string &requestId, int lastEvent);
   /// Body of `TargetMode::JsonForStreams`.
   static std::string jsonAnswer();
 
@@ -182,6 +200,8 @@
   const std::string Service;
   const std::string Address;
   std::string Version = "v1";
+  std::string EventSuffix;
+  std::int64_t StartedAtMs = 1;
   mutable std::mutex Mutex;
   TargetMode Mode = TargetMode::Serving;
   std::chrono::milliseconds EventPause{2};
@@ -194,7 +214,7 @@
   std::atomic<int> EndlessConnections{0};
   std::atomic<int> EventCount{EventsPerStream};
   std::atomic<bool> Ended{false};
-  boost::asio::io_context Io{1};
+  std::optional<boost::asio::io_context> Io{std::in_place, 1};
   std::thread Thread;
 };
 
