Soak: name the streams of two versions also where there are few

Two such streams a run are within the bound, but each one deserves a look: the output names them and keeps the folder of the logs.

--- a/packages/soak/src/main.cpp
+++ b/packages/soak/src/main.cpp
@@ -45,7 +45,10 @@
   for (const std::string &it : violations) {
     std::cout << "  " << it << "\n";
   }
-  if (!violations.empty()) {
+  for (const std::string &it : result.MixedStreams) {
+    std::cout << "  events of two versions in " << it << "\n";
+  }
+  if (!violations.empty() || !result.MixedStreams.empty()) {
     std::cout << "  logs in " << fleet.tempDir() << "\n";
     for (const std::string &it : faults.Events) {
       std::cout << "    " << it << "\n";
--- a/packages/soak/src/soak_checks.cpp
+++ b/packages/soak/src/soak_checks.cpp
@@ -184,12 +184,8 @@
     }
   }
   if (result.MixedStreams.size() > MaxMixedStreams) {
-    std::string ids;
-    for (const std::string &it : result.MixedStreams) {
-      ids += " " + it;
-    }
     violations.push_back(std::to_string(result.MixedStreams.size()) +
-                         " streams hold events of two versions:" + ids);
+                         " streams hold events of two versions");
   }
   if (result.TakenUp >= MinTakeUps &&
       static_cast<double>(result.WentOn) * newStreams.Sent <
