Net: idle connections are used only while they are quiet

Calls to the store or an engine got a second answer that a server had sent on an idle connection. send() used such a connection without a look at it. It now drops connections that have ended or on which bytes wait, and keeps none whose response had no length.

http_client_idle_connection_with_second_answer_is_not_used failed before ("other" == "first"; 2 == 3 requests) and passes, with http_client_response_with_faulty_head_is_none.

--- a/packages/gateway/test/gateway_answers_in_trouble_test.cpp
+++ b/packages/gateway/test/gateway_answers_in_trouble_test.cpp
@@ -266,6 +266,27 @@
 
 // Guards against answers of the store and of engines that are read by other
 // rules than those of targets.
+/// Responses to calls of one client with pauses between them.
+static std::vector<HttpResponse> callServer(const RawTarget &server,
+                                            int calls) {
+  std::vector<HttpResponse> out;
+  asio::io_context io;
+  HttpClient client;
+  const auto run = [&]() -> asio::awaitable<void> {
+    for (int i = 0; i < calls; ++i) {
+      HttpRequest request;
+      request.Path = "/";
+      out.push_back(co_await client.send(*parseEndpoint(server.address()),
+                                         request, milliseconds(1'000), true));
+      asio::steady_timer pause(io, milliseconds(100));
+      co_await pause.async_wait(asio::use_awaitable);
+    }
+  };
+  asio::co_spawn(io, run(), asio::detached);
+  io.run();
+  return out;
+}
+
 TEST_CASE("http_client_response_with_faulty_head_is_none") {
   const std::string head =
       GENERATE("HTTP/1.1 000 None\r\nContent-Length: 4\r\n",
@@ -284,22 +305,32 @@
         connection.endSending();
         co_await connection.sleep(milliseconds(500));
       });
-  asio::io_context io;
-  HttpClient client;
-  HttpResponse response;
-  asio::co_spawn(
-      io,
-      [&]() -> asio::awaitable<void> {
-        HttpRequest request;
-        request.Path = "/";
-        response = co_await client.send(*parseEndpoint(server.address()),
-                                        request, milliseconds(1'000), false);
-      },
-      asio::detached);
-  io.run();
+  const HttpResponse response = callServer(server, 1).back();
   CAPTURE(head, response.Body);
   CHECK_FALSE(response.Status);
   CHECK_FALSE(response.Reason.empty());
 }
 
+// Guards against an answer that is taken for that to the next call.
+TEST_CASE("http_client_idle_connection_with_second_answer_is_not_used") {
+  const std::string framing = GENERATE("Content-Length: 5\r\n", "");
+  const RawTarget server(
+      freeLoopbackAddress(),
+      [framing](RawTargetConnection &connection) -> asio::awaitable<void> {
+        co_await connection.send("HTTP/1.1 200 OK\r\n" + framing + "\r\nfirst");
+        if (framing.empty()) {
+          connection.endSending();
+        }
+        co_await connection.sleep(milliseconds(50));
+        co_await connection.send(
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother");
+        co_await connection.sleep(milliseconds(1'000));
+      });
+  for (const HttpResponse &it : callServer(server, 3)) {
+    CHECK(it.Status == 200U);
+    CHECK(it.Body == "first");
+  }
+  CHECK(server.requestCount() == 3);
+}
+
 } // namespace nutmegsill::standin
--- a/packages/net/include/nutmegsill/connection_end.h
+++ b/packages/net/include/nutmegsill/connection_end.h
@@ -17,4 +17,8 @@
 /// same end as after an orderly one.
 ConnectionEnd connectionEnd(int fd);
 
+/// Whether no bytes wait to be read and the peer has not ended its sending
+/// side. Bytes that wait on an idle connection answer no later request.
+bool isQuiet(int fd);
+
 } // namespace nutmegsill
--- a/packages/net/src/connection_end.cpp
+++ b/packages/net/src/connection_end.cpp
@@ -6,6 +6,8 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <cerrno>
+
 namespace nutmegsill {
 
 ConnectionEnd connectionEnd(int fd) {
@@ -20,4 +22,10 @@
   return out;
 }
 
+bool isQuiet(int fd) {
+  char byte = 0;
+  return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 } // namespace nutmegsill
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -135,7 +135,7 @@
     response.TimedOut = ec == beast::error::timeout;
     co_return response;
   }
-  reusable = parser.get().keep_alive() && buf.size() == 0;
+  reusable = parser.get().keep_alive() && !parser.need_eof() && buf.size() == 0;
   response.Status = parser.get().result_int();
   response.Fields = std::move(static_cast<http::fields &>(parser.get()));
   response.Body = std::move(parser.get().body());
@@ -148,6 +148,9 @@
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
   bool reusable = false;
   std::vector<Stream> &idle = IdleStreams[to];
+  while (!idle.empty() && !isQuiet(idle.back().socket().native_handle())) {
+    idle.pop_back();
+  }
   if (mayRetry && !idle.empty()) {
     Stream reused = std::move(idle.back());
     idle.pop_back();
