Keep streams at their version during roll-outs, without a draw

Callers' take-ups were refused with no_target_of_version while targets of the version served.

Cause: the draw of a roll-out chose the versions for requests that are confined to one. At a share s a stream of the new version was refused with probability 1-s, a resumption within a response always, and one of the previous version from the time the pool had moved. Change: a confined request may go to every version that was not reverted, and is no sample. `NotReverted` admits the new version too; it was only chosen without an order before. Not covered: take-ups of the new version do not count in its share, so its exposure may be above the share by as many; the previous version may get take-ups after the roll-out is complete.

--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -224,7 +224,7 @@
   out.Pool = request.Pool;
   out.StatedRate = Statements.statedRate(processOf(state));
   out.SentAt = now;
-  if (AllowedVersions) {
+  if (AllowedVersions && !request.Version) {
     out.Rollout = Versions.recordSent(request.Route->Name, state.Known.Entry);
   }
   out.OldestReportAgeMs =
--- a/packages/routing/src/dispatcher_rollouts.cpp
+++ b/packages/routing/src/dispatcher_rollouts.cpp
@@ -40,7 +40,11 @@
   }
   DispatchDecision decision = Rejection{};
   const bool isRepeated = !request.AttemptedTargets.empty();
-  for (const VersionChoice it : Versions.choose(request.Pool, isRepeated)) {
+  // The version of a stream was drawn when it began.
+  const std::vector<VersionChoice> choices =
+      request.Version ? std::vector{VersionChoice::NotReverted}
+                      : Versions.choose(request.Pool, isRepeated);
+  for (const VersionChoice it : choices) {
     AllowedVersions = it;
     decision = chooseByKind(request, now);
     if (std::holds_alternative<Assignment>(decision)) {
--- a/packages/routing/src/rollout.cpp
+++ b/packages/routing/src/rollout.cpp
@@ -208,7 +208,7 @@
   const auto excluded = Excluded.find(entry.Pool);
   const bool isExcluded =
       excluded != Excluded.end() && excluded->second.count(entry.Version) != 0;
-  return !isExcluded && !isNew;
+  return !isExcluded && (choice == VersionChoice::NotReverted || !isNew);
 }
 
 std::optional<RolloutSample> Rollouts::recordSent(const std::string &route,
--- a/packages/routing/test/stream_versions_test.cpp
+++ b/packages/routing/test/stream_versions_test.cpp
@@ -19,6 +19,7 @@
   void setView(const std::vector<std::string> &versions) {
     std::shared_ptr<FleetView> view = std::make_shared<FleetView>();
     view->Config = Config;
+    view->Rollouts = Orders;
     for (const char *pool : {"engines", "desk"}) {
       for (std::size_t i = 0; i < versions.size(); ++i) {
         TargetEntry entry =
@@ -58,9 +59,16 @@
     return lifecycle.finishAttempt(TestedDispatcher, assignment, outcome, now);
   }
 
+  static DispatchPolicy policy() {
+    DispatchPolicy out;
+    out.Rollout = RolloutPolicy();
+    return out;
+  }
+
   std::shared_ptr<ServiceConfig> Config = config();
+  std::map<PoolId, RolloutItems> Orders;
   Dispatcher TestedDispatcher{
-      HostId{"host-1"}, {}, {0.2, std::chrono::seconds(10), 100}};
+      HostId{"host-1"}, policy(), {0.2, std::chrono::seconds(10), 100}};
 };
 
 TEST_CASE_METHOD(StreamVersionsFixture,
@@ -89,6 +97,27 @@
   CHECK(lifecycle.localResponse().RetryAfter <= milliseconds(500));
 }
 
+// Guards against streams that the draw of a roll-out refuses.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "rollout_stream_goes_on_at_its_version_unless_reverted") {
+  const RolloutState state = GENERATE(
+      RolloutState::Running, RolloutState::Complete, RolloutState::Reverted);
+  Orders[PoolId{"desk"}] = {RolloutOrder{"v2", std::chrono::seconds(20)},
+                            RolloutStatus{state, "v2"}};
+  setView({"v1", "v1", "v2"});
+  for (const std::string version : {"v1", "v2"}) {
+    CAPTURE(rolloutStateName(state), version);
+    RequestLifecycle lifecycle = start();
+    lifecycle.continueAt({PoolId{"desk"}, version});
+    const DispatchDecision decision =
+        lifecycle.chooseTarget(TestedDispatcher, at(1));
+    const Assignment *it = std::get_if<Assignment>(&decision);
+    CHECK((it != nullptr) ==
+          (version == "v1" || state != RolloutState::Reverted));
+    CHECK((it == nullptr || (it->Version == version && !it->Rollout)));
+  }
+}
+
 TEST_CASE_METHOD(StreamVersionsFixture,
                  "request_lifecycle_stream_goes_on_at_version_of_first_event") {
   for (int i = 0; i < 12; ++i) {
