Leave a reserved target that is replaced by another version

A stream could go on at a target whose entry states another version by then.

Cause: a reserved target was compared by its version as of the reservation. Change: it is also released if the target's entry states another version now.

--- a/packages/routing/src/request_lifecycle.cpp
+++ b/packages/routing/src/request_lifecycle.cpp
@@ -52,7 +52,9 @@
   Request.RemainingTime = remainingTime(now);
   FirstEventAt.reset();
   Survived = false;
-  if (Reserved && Request.Version && Reserved->Version != *Request.Version) {
+  const bool isOther =
+      Reserved && Request.Version && Reserved->Version != *Request.Version;
+  if (isOther || (Reserved && dispatcher.isReplaced(*Reserved))) {
     releaseReserved(dispatcher, now);
   }
   if (Reserved) {
--- a/packages/routing/test/stream_versions_test.cpp
+++ b/packages/routing/test/stream_versions_test.cpp
@@ -151,6 +151,22 @@
   CHECK(reservedOther);
 }
 
+// Guards against a version that is compared as of the reservation.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "request_lifecycle_reserved_target_that_is_replaced_is_left") {
+  setView({"v1", "v1"});
+  RequestLifecycle lifecycle = start();
+  Assignment first = choose(lifecycle, at(1));
+  REQUIRE(lifecycle.reserveTarget(TestedDispatcher, first, at(2)));
+  lifecycle.recordProgress(TestedDispatcher, first, at(3));
+  const bool isFirst = first.Target == TargetId{"desk-0"};
+  setView({isFirst ? "v1" : "v2", isFirst ? "v2" : "v1"});
+  REQUIRE(end(lifecycle, first, true, at(4)));
+  const DispatchDecision next = lifecycle.chooseTarget(TestedDispatcher, at(5));
+  const Assignment *second = std::get_if<Assignment>(&next);
+  CHECK((second == nullptr || second->Target == first.Target));
+}
+
 // Guards against a stream whose sender may have been either of two versions.
 TEST_CASE_METHOD(StreamVersionsFixture,
                  "request_lifecycle_stream_of_replaced_target_is_not_resumed") {
