Let streams go on while other requests wait for a place

Callers' take-ups were refused while new streams waited and began, although a target of their version had room.

Cause: a confined request cannot wait, but every waiting request preceded it. Change: waiting requests do not precede it; it still needs headroom. Result: stream_that_goes_on_is_not_refused_for_a_waiting_request failed before ("" == "d-2") and passes now; service_load* pass.

--- a/packages/routing/src/service_choice.cpp
+++ b/packages/routing/src/service_choice.cpp
@@ -53,9 +53,12 @@
   std::vector<ServiceCandidate> ranked =
       serviceCandidates(eligible, request, now);
   rankServices(ranked);
-  const bool preceded = Places.isPreceded(
-      request.Pool, request.Ticket,
-      PlaceUrgency::of(*request.Route, request.ElapsedTime, now));
+  // A stream that goes on cannot wait, so it does not line up either.
+  const bool preceded =
+      !request.Version &&
+      Places.isPreceded(
+          request.Pool, request.Ticket,
+          PlaceUrgency::of(*request.Route, request.ElapsedTime, now));
   if (preceded || ranked.front().Headroom <= 0) {
     return rejectForPlaces(ranked, request);
   }
--- a/packages/routing/test/service_load_test.cpp
+++ b/packages/routing/test/service_load_test.cpp
@@ -97,6 +97,20 @@
   CHECK(rejected.localResponse().RetryAfter >= milliseconds(100));
 }
 
+// Guards against streams that are refused while new ones wait and begin.
+TEST_CASE_METHOD(ServiceLoadFixture,
+                 "stream_that_goes_on_is_not_refused_for_a_waiting_request") {
+  state("d-1", Full, at(0));
+  state("d-2", Full, at(0));
+  RequestLifecycle waiting = start(at(1));
+  REQUIRE(targetOf(waiting.chooseTarget(TestedDispatcher, at(1))).empty());
+  REQUIRE(waiting.beginWait(TestedDispatcher, at(1)) > Duration{0});
+  state("d-2", Idle, at(10));
+  RequestLifecycle stream = start(at(10));
+  stream.continueAt({PoolId{"desk"}, ""});
+  CHECK(targetOf(stream.chooseTarget(TestedDispatcher, at(10))) == "d-2");
+}
+
 // A refused request went to the same full target again, and the target counted
 // as failing.
 TEST_CASE_METHOD(ServiceLoadFixture, "service_load_refusing_target_gets_none") {
