Require weight for a pool at which a stream goes on

Callers' take-ups went to a pool that the route gives nothing any more.

Cause: a pool counted as one of the route's with weight 0. Change: such a stream is rejected as moved. Result: stream_origins_pool_without_weight_does_not_go_on failed before ("known" == "moved") and passes now.

--- a/packages/routing/src/stream_origins.cpp
+++ b/packages/routing/src/stream_origins.cpp
@@ -141,9 +141,10 @@
   if (isReplaced(origin)) {
     return UnknownOrigin{false, "replaced"};
   }
-  if (std::none_of(
-          route.Pools.begin(), route.Pools.end(),
-          [&](const PoolWeight &it) { return it.Pool == origin.Pool; })) {
+  if (std::none_of(route.Pools.begin(), route.Pools.end(),
+                   [&](const PoolWeight &it) {
+                     return it.Pool == origin.Pool && it.Weight > 0;
+                   })) {
     return UnknownOrigin{false, "moved"};
   }
   return KnownOrigin{origin.Pool, origin.Version};
--- a/packages/routing/test/stream_origins_test.cpp
+++ b/packages/routing/test/stream_origins_test.cpp
@@ -158,6 +158,14 @@
   }
   CHECK(reported <= 2 * StreamOriginPolicy{}.MaxStreams);
 }
+TEST_CASE_METHOD(StreamOriginsFixture,
+                 "stream_origins_pool_without_weight_does_not_go_on") {
+  Config->Routes[0].Pools = {{PoolId{"other"}, 1}, {PoolId{"engines"}, 0}};
+  serve({"v1", "v2"}, 0);
+  record(Key, origin("e-1", "v1"), 100);
+  CHECK(reason(200) == "moved");
+}
+
 
 TEST_CASE_METHOD(StreamOriginsFixture,
                  "stream_origins_report_carries_each_stream_twice") {
