--- a/packages/routing/test/stream_versions_test.cpp
+++ b/packages/routing/test/stream_versions_test.cpp
@@ -19,6 +19,7 @@
   void setView(const std::vector<std::string> &versions) {
     std::shared_ptr<FleetView> view = std::make_shared<FleetView>();
     view->Config = Config;
+    view->Rollouts = Orders;
     for (const char *pool : {"engines", "desk"}) {
       for (std::size_t i = 0; i < versions.size(); ++i) {
         TargetEntry entry =
@@ -58,9 +59,16 @@
     return lifecycle.finishAttempt(TestedDispatcher, assignment, outcome, now);
   }
 
+  static DispatchPolicy policy() {
+    DispatchPolicy out;
+    out.Rollout = RolloutPolicy();
+    return out;
+  }
+
   std::shared_ptr<ServiceConfig> Config = config();
+  std::map<PoolId, RolloutItems> Orders;
   Dispatcher TestedDispatcher{
-      HostId{"host-1"}, {}, {0.2, std::chrono::seconds(10), 100}};
+      HostId{"host-1"}, policy(), {0.2, std::chrono::seconds(10), 100}};
 };
 
 TEST_CASE_METHOD(StreamVersionsFixture,
@@ -89,6 +97,27 @@
   CHECK(lifecycle.localResponse().RetryAfter <= milliseconds(500));
 }
 
+// Guards against streams that the draw of a roll-out refuses.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "rollout_stream_goes_on_at_its_version_unless_reverted") {
+  const RolloutState state = GENERATE(
+      RolloutState::Running, RolloutState::Complete, RolloutState::Reverted);
+  Orders[PoolId{"desk"}] = {RolloutOrder{"v2", std::chrono::seconds(20)},
+                            RolloutStatus{state, "v2"}};
+  setView({"v1", "v1", "v2"});
+  for (const std::string version : {"v1", "v2"}) {
+    CAPTURE(rolloutStateName(state), version);
+    RequestLifecycle lifecycle = start();
+    lifecycle.continueAt({PoolId{"desk"}, version});
+    const DispatchDecision decision =
+        lifecycle.chooseTarget(TestedDispatcher, at(1));
+    const Assignment *it = std::get_if<Assignment>(&decision);
+    CHECK((it != nullptr) ==
+          (version == "v1" || state != RolloutState::Reverted));
+    CHECK((it == nullptr || (it->Version == version && !it->Rollout)));
+  }
+}
+
 TEST_CASE_METHOD(StreamVersionsFixture,
                  "request_lifecycle_stream_goes_on_at_version_of_first_event") {
   for (int i = 0; i < 12; ++i) {
@@ -122,6 +151,22 @@
   CHECK(reservedOther);
 }
 
+// Guards against a version that is compared as of the reservation.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "request_lifecycle_reserved_target_that_is_replaced_is_left") {
+  setView({"v1", "v1"});
+  RequestLifecycle lifecycle = start();
+  Assignment first = choose(lifecycle, at(1));
+  REQUIRE(lifecycle.reserveTarget(TestedDispatcher, first, at(2)));
+  lifecycle.recordProgress(TestedDispatcher, first, at(3));
+  const bool isFirst = first.Target == TargetId{"desk-0"};
+  setView({isFirst ? "v1" : "v2", isFirst ? "v2" : "v1"});
+  REQUIRE(end(lifecycle, first, true, at(4)));
+  const DispatchDecision next = lifecycle.chooseTarget(TestedDispatcher, at(5));
+  const Assignment *second = std::get_if<Assignment>(&next);
+  CHECK((second == nullptr || second->Target == first.Target));
+}
+
 // Guards against a stream whose sender may have been either of two versions.
 TEST_CASE_METHOD(StreamVersionsFixture,
                  "request_lifecycle_stream_of_replaced_target_is_not_resumed") {
