Trailers and named ids: fields of a response that are not the caller's

Cause: the client of the store and of engines handed out fields after the library had added the trailers to them; an id that Connection names belongs to one connection, yet reached the caller. Change: the fields are copied after the head; such a response is ambiguous (502). Result: http_client_trailer_is_not_part_of_header failed before (1 == 0); the row of Connection: request-id in gateway_answer_with_faulty_head_is_no_answer was not run before.

--- a/packages/gateway/src/request_sender.h
+++ b/packages/gateway/src/request_sender.h
@@ -30,8 +30,8 @@
   /// Time of the start, or of the end if it has ended.
   Time sentAt() const { return SentAt; }
   /// Whether a body that ended with the connection is whole: the peer ended in
-  /// good order and has the request. Waits for the rest of the request as long
-  /// as the peer takes it.
+  /// good order and its system has the request. Waits for the rest of the
+  /// request as long as the peer takes it.
   boost::asio::awaitable<bool> endsInOrder(Socket &connection);
   /// What is unsent and why, for the log; empty if nothing is.
   std::string describe() const;
--- a/packages/gateway/test/gateway_answers_in_trouble_test.cpp
+++ b/packages/gateway/test/gateway_answers_in_trouble_test.cpp
@@ -173,7 +173,7 @@
       "X-Odd: a\nSignature: b"s, "Content-Length: 9"s, "Content-Length: 4"s,
       "Content-Length: +4"s, "Transfer-Encoding: chunked"s, "Signature: other"s,
       "signature: other"s, "Request-Id: other"s,
-      "Connection: close, signature"s);
+      "Connection: close, signature"s, "Connection: close, request-id"s);
   const std::string path = GENERATE("/buy/a", "/stream/whole/a");
   const RawResponse response =
       exchange("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: 4\r\n"
@@ -333,4 +333,19 @@
   CHECK(server.requestCount() == 3);
 }
 
+TEST_CASE("http_client_trailer_is_not_part_of_header") {
+  const RawTarget server(
+      freeLoopbackAddress(),
+      [](RawTargetConnection &connection) -> asio::awaitable<void> {
+        co_await connection.send(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Own: 1\r\n"
+            "\r\n4\r\nbody\r\n0\r\nX-Trailer: 1\r\n\r\n");
+        co_await connection.sleep(milliseconds(200));
+      });
+  const HttpResponse response = callServer(server, 1).front();
+  CHECK(response.Body == "body");
+  CHECK(response.Fields["X-Own"] == "1");
+  CHECK(response.Fields.count("X-Trailer") == 0);
+}
+
 } // namespace nutmegsill::standin
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -121,6 +121,8 @@
     response.TimedOut = headError && headError->Code == beast::error::timeout;
     co_return response;
   }
+  // The library adds trailers to the fields of the head.
+  response.Fields = parser.get().base();
   if (!parser.is_done()) {
     co_await http::async_read(stream, buf, parser, completionToken());
   }
@@ -137,7 +139,6 @@
   }
   reusable = parser.get().keep_alive() && !parser.need_eof() && buf.size() == 0;
   response.Status = parser.get().result_int();
-  response.Fields = std::move(static_cast<http::fields &>(parser.get()));
   response.Body = std::move(parser.get().body());
   co_return response;
 }
