Tell peers of ambiguous and replaced streams, and keep them so

Callers' take-ups of a stream that either of two versions may have begun could go on at one of them, at another router or later.

Cause: a report carried the first origin of an ambiguous stream; a router that was asked said nothing of an ambiguous or replaced one, so that the asker took another peer's older record or sole version; and a replaced record counted again when the other entry had gone. Change: the view marks the known origins that it replaces for as long as they are kept. Such streams and ambiguous ones are answered with an origin without names, and reported twice more when they become so. Nothing changes on the wire; routers of the former version take it for another pool. An answer with an older record that comes first still counts.

Two checks wanted no origin in the answer for such streams. That was the fault; they now want exactly this origin.

--- a/packages/routing/include/nutmegsill/routing/stream_origins.h
+++ b/packages/routing/include/nutmegsill/routing/stream_origins.h
@@ -50,6 +50,11 @@
   auto operator<=>(const StreamOrigin &) const = default;
 };
 
+/// Tells other routers of a stream that either of two versions may have begun.
+/// Its pool has no name, so that it differs from every other origin, and no
+/// route has it.
+inline const StreamOrigin AmbiguousOrigin{};
+
 /// Streams that one process began, as told to other routers.
 struct StreamOriginReport {
   StreamOrigin Origin;
@@ -118,7 +123,8 @@
 };
 struct OriginAnswer {
   std::uint64_t Number = 0;
-  /// Set if the router knows the stream.
+  /// Set if the router knows the stream; `AmbiguousOrigin` if it must not go
+  /// on.
   std::optional<StreamOrigin> Origin;
   /// Set if the router does not know the stream, but that the pool has had this
   /// version only for as long as any stream lasts.
@@ -172,8 +178,12 @@
   void expire(Time now);
 
 private:
-  /// Origins, and how many streams have each.
-  using Origins = std::map<StreamOrigin, std::size_t>;
+  struct OriginState {
+    std::size_t Streams = 0;
+    /// The target's entry has stated another version or pool.
+    bool Replaced = false;
+  };
+  using Origins = std::map<StreamOrigin, OriginState>;
   using Ends = std::multimap<Time, StreamKey>;
   struct Stream {
     Origins::iterator Origin;
@@ -188,6 +198,9 @@
 
   void keep(StreamKey key, const StreamOrigin &origin, Duration life, Time now);
   void drop(StreamMap::iterator it);
+  void reportLater(StreamKey key);
+  /// Keeps which origins the view replaces, and reports their streams anew.
+  void markReplaced();
   /// Nothing if the stream is not known.
   std::optional<OriginDecision>
   findRecord(StreamKey key, const RouteRule &route, Time now) const;
--- a/packages/routing/src/stream_origins.cpp
+++ b/packages/routing/src/stream_origins.cpp
@@ -1,10 +1,20 @@
 #include "nutmegsill/routing/stream_origins.h"
 
 #include <algorithm>
+#include <set>
 #include <xxhash.h>
 
 namespace nutmegsill::routing {
 
+namespace {
+
+/// Whether the entry, of the target of `origin`, states another one.
+bool replaces(const TargetEntry &entry, const StreamOrigin &origin) {
+  return entry.Version != origin.Version || entry.Pool != origin.Pool;
+}
+
+} // namespace
+
 StreamKey streamKey(const StreamContent &content) {
   // Each field seeds the next one, so that bytes cannot move between fields.
   std::uint64_t sum = 0;
@@ -19,6 +29,38 @@
 void StreamOrigins::setView(std::shared_ptr<const FleetView> view, Time now) {
   View = std::move(view);
   History.setView(*View, now);
+  markReplaced();
+}
+
+void StreamOrigins::markReplaced() {
+  std::map<TargetId, const TargetEntry *> entries;
+  for (const KnownTarget &it : View->Targets) {
+    entries[it.Entry.Target] = &it.Entry;
+  }
+  std::set<const StreamOrigin *> fresh;
+  for (auto &[origin, state] : KnownOrigins) {
+    const auto it = entries.find(origin.Process.Target);
+    if (!state.Replaced && it != entries.end() &&
+        replaces(*it->second, origin)) {
+      state.Replaced = true;
+      fresh.insert(&origin);
+    }
+  }
+  if (fresh.empty()) {
+    return;
+  }
+  for (const auto &[key, stream] : Streams) {
+    if (fresh.count(&stream.Origin->first) != 0) {
+      reportLater(key);
+    }
+  }
+}
+
+void StreamOrigins::reportLater(StreamKey key) {
+  ToReport.push_back({key, Policy.ReportsPerStream});
+  if (ToReport.size() > Policy.MaxStreams) {
+    ToReport.pop_front();
+  }
 }
 
 void StreamOrigins::record(StreamKey key, const StreamOrigin &origin,
@@ -27,10 +69,7 @@
   const Duration life = std::clamp<Duration>(callerTime.value_or(routeTimeout),
                                              Duration{0}, Policy.MaxLife);
   keep(key, origin, std::min(life + Policy.LifeMargin, Policy.MaxLife), now);
-  ToReport.push_back({key, Policy.ReportsPerStream});
-  if (ToReport.size() > Policy.MaxStreams) {
-    ToReport.pop_front();
-  }
+  reportLater(key);
 }
 
 void StreamOrigins::receive(const std::vector<StreamOriginReport> &reports,
@@ -53,16 +92,26 @@
   Stream &stream = it->second;
   if (!added) {
     const StreamOrigin &known = stream.Origin->first;
-    stream.Ambiguous = stream.Ambiguous || known.Pool != origin.Pool ||
-                       known.Version != origin.Version;
+    const bool differs =
+        known.Pool != origin.Pool || known.Version != origin.Version;
+    // The router that tells of an ambiguous stream tells the group.
+    if (differs && !stream.Ambiguous && origin != AmbiguousOrigin) {
+      reportLater(key);
+    }
+    stream.Ambiguous = stream.Ambiguous || differs;
     if (endsAt > stream.End->first) {
       StreamEnds.erase(stream.End);
       stream.End = StreamEnds.emplace(endsAt, key);
     }
     return;
   }
-  stream.Origin = KnownOrigins.try_emplace(origin).first;
-  ++stream.Origin->second;
+  const auto [from, isFirst] = KnownOrigins.try_emplace(origin);
+  stream.Origin = from;
+  ++from->second.Streams;
+  if (isFirst) {
+    from->second.Replaced = isReplaced(origin);
+  }
+  stream.Ambiguous = origin == AmbiguousOrigin;
   stream.End = StreamEnds.emplace(endsAt, key);
   if (Streams.size() > Policy.MaxStreams) {
     drop(Streams.find(StreamEnds.begin()->second));
@@ -71,7 +120,7 @@
 
 void StreamOrigins::drop(StreamMap::iterator it) {
   const Stream &stream = it->second;
-  if (--stream.Origin->second == 0) {
+  if (--stream.Origin->second.Streams == 0) {
     KnownOrigins.erase(stream.Origin);
   }
   StreamEnds.erase(stream.End);
@@ -103,7 +152,9 @@
       continue;
     }
     ++taken;
-    byOrigin[it->second.Origin->first].push_back(
+    const auto &[origin, state] = *it->second.Origin;
+    const bool goesOn = !it->second.Ambiguous && !state.Replaced;
+    byOrigin[goesOn ? origin : AmbiguousOrigin].push_back(
         {next.Key, it->second.End->first - now});
     if (--next.ReportsLeft > 0) {
       ToReport.push_back(next);
@@ -122,8 +173,7 @@
          std::any_of(View->Targets.begin(), View->Targets.end(),
                      [&](const KnownTarget &it) {
                        return it.Entry.Target == origin.Process.Target &&
-                              (it.Entry.Version != origin.Version ||
-                               it.Entry.Pool != origin.Pool);
+                              replaces(it.Entry, origin);
                      });
 }
 
@@ -138,7 +188,7 @@
   if (known->second.Ambiguous) {
     return UnknownOrigin{false, "ambiguous"};
   }
-  if (isReplaced(origin)) {
+  if (known->second.Origin->second.Replaced) {
     return UnknownOrigin{false, "replaced"};
   }
   if (std::none_of(route.Pools.begin(), route.Pools.end(),
@@ -213,10 +263,9 @@
   expire(now);
   const auto known = Streams.find(question.Key);
   if (known != Streams.end()) {
-    const StreamOrigin &origin = known->second.Origin->first;
-    if (!known->second.Ambiguous && !isReplaced(origin)) {
-      out.Origin = origin;
-    }
+    const auto &[origin, state] = *known->second.Origin;
+    const bool goesOn = !known->second.Ambiguous && !state.Replaced;
+    out.Origin = goesOn ? origin : AmbiguousOrigin;
     return out;
   }
   if (!View || !View->Config) {
--- a/packages/routing/test/stream_origins_test.cpp
+++ b/packages/routing/test/stream_origins_test.cpp
@@ -92,8 +92,9 @@
   serve({"v2", "v1"}, 200);
   CHECK(reason(300) == "replaced");
   CHECK(find(300, StreamKey{8}) == OriginDecision{known("v1")});
-  CHECK_FALSE(
-      Streams.answer({1, Key, "captions", PoolId{"engines"}}, at(300)).Origin);
+  CHECK(
+      Streams.answer({1, Key, "captions", PoolId{"engines"}}, at(300)).Origin ==
+      AmbiguousOrigin);
 }
 
 TEST_CASE_METHOD(StreamOriginsFixture,
@@ -105,8 +106,46 @@
   Streams.receive({{origin("e-2", "v2"), {{Key, milliseconds(2'000)}}}},
                   at(400));
   CHECK(reason(500) == "ambiguous");
-  CHECK_FALSE(
-      Streams.answer({1, Key, "captions", PoolId{"engines"}}, at(500)).Origin);
+  CHECK(
+      Streams.answer({1, Key, "captions", PoolId{"engines"}}, at(500)).Origin ==
+      AmbiguousOrigin);
+}
+
+// Guards against a peer's older record that counts instead.
+TEST_CASE_METHOD(StreamOriginsFixture,
+                 "stream_origins_stream_of_two_versions_stays_so_at_peers") {
+  const bool replaced = GENERATE(true, false);
+  StreamOrigins told;
+  StreamOrigins asking;
+  serve({"v1", "v2"}, 0);
+  record(Key, origin("e-1", "v1"), 100);
+  for (int i = 0; i < 2; ++i) {
+    const std::vector<StreamOriginReport> first = Streams.takeReport(at(150));
+    told.receive(first, at(150));
+    asking.receive(first, at(150));
+  }
+  if (replaced) {
+    serve({"v2", "v2"}, 200);
+    serve({}, 250);
+  } else {
+    record(Key, origin("e-2", "v2"), 200);
+  }
+  CHECK(reason(300) == (replaced ? "replaced" : "ambiguous"));
+  told.receive(Streams.takeReport(at(300)), at(300));
+  const RouteRule &route = Config->Routes[0];
+  const PoolId pool{"engines"};
+  CHECK(std::holds_alternative<UnknownOrigin>(
+      told.find(Key, route, pool, at(400))));
+  for (StreamOrigins *it : {&Streams, &told}) {
+    const OriginAnswer answer = it->answer({1, Key, "captions", pool}, at(400));
+    StreamOrigins unaware;
+    CHECK(unaware.adopt(answer, Key, route, pool, at(400)) ==
+          OriginDecision{UnknownOrigin{false, "ambiguous"}});
+  }
+  const OriginAnswer answer =
+      Streams.answer({1, Key, "captions", pool}, at(400));
+  CHECK(asking.adopt(answer, Key, route, pool, at(400)) ==
+        OriginDecision{UnknownOrigin{false, "ambiguous"}});
 }
 
 TEST_CASE_METHOD(StreamOriginsFixture,
