Begin the proof of one version anew with a route's timeout

Callers' streams of before a change of the configuration could go on at the wrong version, if no router had a record.

Cause: the span of the proof follows from the route's timeout as of now, so a shorter one proved streams that had begun with the longer one. Change: the timeout is part of what renews the route table, in either direction. The case on pools without weight moves next to the other one on pools, unchanged. Result: "a shorter timeout" of stream_origins_changed_routes_begin_the_span_anew failed before ("known" == "rerouted") and passes now.

--- a/packages/routing/include/nutmegsill/routing/version_history.h
+++ b/packages/routing/include/nutmegsill/routing/version_history.h
@@ -64,10 +64,16 @@
     /// When a version that did not fit was last seen.
     std::optional<Time> ForgottenAt = std::nullopt;
   };
+  struct RouteFacts {
+    std::set<PoolId> Pools;
+    /// The span of a proof follows from it; streams of before may last longer.
+    Duration Timeout{0};
+    bool operator==(const RouteFacts &) const = default;
+  };
   /// What a request may be routed by.
   struct RouteTable {
-    /// Pools by prefix and name of the route.
-    std::map<std::pair<std::string, std::string>, std::set<PoolId>> Routes;
+    /// By prefix and name of the route.
+    std::map<std::pair<std::string, std::string>, RouteFacts> Routes;
     Time Since{};
   };
 
--- a/packages/routing/src/version_history.cpp
+++ b/packages/routing/src/version_history.cpp
@@ -61,9 +61,10 @@
   for (const RouteRule &route : config.Routes) {
     RouteTable &table = fresh[route.HostName];
     table.Since = now;
-    std::set<PoolId> &pools = table.Routes[{route.Prefix, route.Name}];
+    RouteFacts &facts = table.Routes[{route.Prefix, route.Name}];
+    facts.Timeout = route.Timeout;
     for (const PoolWeight &it : route.Pools) {
-      pools.insert(it.Pool);
+      facts.Pools.insert(it.Pool);
     }
   }
   for (auto &[hostName, table] : fresh) {
@@ -101,9 +102,9 @@
   if (table == Routes.end() || now - table->second.Since < span) {
     return NoSoleVersion{"rerouted"};
   }
-  const auto pools = table->second.Routes.find({route.Prefix, route.Name});
-  if (pools == table->second.Routes.end() ||
-      pools->second != std::set<PoolId>{pool}) {
+  const auto facts = table->second.Routes.find({route.Prefix, route.Name});
+  if (facts == table->second.Routes.end() ||
+      facts->second.Pools != std::set<PoolId>{pool}) {
     return NoSoleVersion{"rerouted"};
   }
   const auto known = Pools.find(pool);
--- a/packages/routing/test/stream_origins_test.cpp
+++ b/packages/routing/test/stream_origins_test.cpp
@@ -160,6 +160,14 @@
   CHECK(reason(200) == "moved");
 }
 
+TEST_CASE_METHOD(StreamOriginsFixture,
+                 "stream_origins_pool_without_weight_does_not_go_on") {
+  Config->Routes[0].Pools = {{PoolId{"other"}, 1}, {PoolId{"engines"}, 0}};
+  serve({"v1", "v2"}, 0);
+  record(Key, origin("e-1", "v1"), 100);
+  CHECK(reason(200) == "moved");
+}
+
 TEST_CASE_METHOD(StreamOriginsFixture,
                  "stream_origins_stream_is_kept_as_long_as_its_caller_waits") {
   serve({"v1", "v2"}, 0);
@@ -197,14 +205,6 @@
   }
   CHECK(reported <= 2 * StreamOriginPolicy{}.MaxStreams);
 }
-TEST_CASE_METHOD(StreamOriginsFixture,
-                 "stream_origins_pool_without_weight_does_not_go_on") {
-  Config->Routes[0].Pools = {{PoolId{"other"}, 1}, {PoolId{"engines"}, 0}};
-  serve({"v1", "v2"}, 0);
-  record(Key, origin("e-1", "v1"), 100);
-  CHECK(reason(200) == "moved");
-}
-
 
 TEST_CASE_METHOD(StreamOriginsFixture,
                  "stream_origins_report_carries_each_stream_twice") {
@@ -295,6 +295,11 @@
     serve({"v1"}, 60'000);
     CHECK(reason(60'000, std::nullopt) == "rerouted");
   }
+  SECTION("a shorter timeout") {
+    Config->Routes[0].Timeout = milliseconds(3'000);
+    serve({"v1"}, 60'000);
+    CHECK(reason(60'000, std::nullopt) == "rerouted");
+  }
   SECTION("another pool") {
     Config->Routes[0].Pools.push_back({PoolId{"other"}, 1});
     serve({"v1"}, 60'000);
