Test of taken-up streams names the request that began the stream

Change: a first request begins the stream, and the take-up names it. What is checked of the events is unchanged.

--- a/packages/gateway/test/gateway_stream_order_test.cpp
+++ b/packages/gateway/test/gateway_stream_order_test.cpp
@@ -159,9 +159,11 @@
                  "gateway_taken_up_stream_begins_after_the_callers_event") {
   startRouter();
   const std::string wrong = GENERATE("1 2 3 4 5", "3 4 5");
+  Runs = {"1 2 3"};
+  sendStream("/stream/resumed/a", "id-0");
   Runs = {wrong, "4 5"};
-  const RawResponse response =
-      sendStream("/stream/resumed/a", "id-1", "Last-Event-Id: 3\r\n");
+  const RawResponse response = sendStream(
+      "/stream/resumed/a", "id-1", "Resumes: id-0\r\nLast-Event-Id: 3\r\n");
   CAPTURE(wrong, response.Body);
   CHECK(response.Status == 200);
   CHECK(response.Complete);
